--- /dev/null
+++ b/src/egretfork/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon beside a target: owns flows, requests and run records."""
--- /dev/null
+++ b/src/egretfork/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/egretfork/control/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon of a control VM: replicated log of configurations."""
--- /dev/null
+++ b/src/egretfork/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon of an entry VM: forwards datagrams to agents."""
--- /dev/null
+++ b/src/egretfork/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Dissemination of configuration and membership between nodes."""
--- /dev/null
+++ b/src/egretfork/reasons.py
@@ -0,0 +1,86 @@
+"""Reasons of refusals, drops and retries, and the error sentinel."""
+
+import dataclasses
+import enum
+
+
+class Drop(enum.StrEnum):
+    """Why a datagram was discarded without an answer."""
+
+    UNKNOWN_ADDRESS = "unknown_address"
+    MALFORMED = "malformed"
+    NO_CONFIGURATION = "no_configuration"
+    NO_TARGETS = "no_targets"
+    WRONG_SERVICE = "wrong_service"
+    HOP_LIMIT = "hop_limit"
+    DUPLICATE = "duplicate"
+    UNMATCHED_ANSWER = "unmatched_answer"
+    SEND_FAILED = "send_failed"
+    TABLE_FULL = "table_full"
+
+
+class Refusal(enum.StrEnum):
+    """Why a request was refused before it was run."""
+
+    NO_CAPACITY = "no_capacity"
+    QUEUE_FULL = "queue_full"
+    DRAINING = "draining"
+    SHEDDING = "shedding"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    UNHEALTHY = "unhealthy"
+    STOPPING = "stopping"
+    MISSING_REQUEST_KEY = "missing_request_key"
+    BAD_OPTION = "bad_option"
+    SUPERSEDED = "superseded"
+
+
+class Unknown(enum.StrEnum):
+    """Why the outcome of a request is unknown."""
+
+    EXECUTOR_LOST = "executor_lost"
+    TARGET_TIMEOUT = "target_timeout"
+    TARGET_LOST = "target_lost"
+    RECORDS_UNREACHABLE = "records_unreachable"
+    RECORDS_LOST = "records_lost"
+    RECORDS_FULL = "records_full"
+    ANSWER_LOST = "answer_lost"
+    KEY_EXPIRED = "key_expired"
+    NOT_STARTED = "granted_not_started"
+    DEADLINE = "deadline_while_running"
+
+
+class Retry(enum.StrEnum):
+    """Why an attempt was repeated or moved to another peer."""
+
+    PEER_TIMEOUT = "peer_timeout"
+    PEER_REFUSED = "peer_refused"
+    TARGET_REFUSED = "target_refused"
+    IDEMPOTENT_FAILURE = "idempotent_failure"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    LEADER_CHANGED = "leader_changed"
+
+
+Reason = Drop | Refusal | Unknown | Retry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Sentinel returned in place of a result.
+
+    Attributes:
+        step: operation that failed, for example ``"decode"``.
+        peer: address or name of the other side, empty if there is none.
+        reason: why it failed.
+        detail: text for operators.
+    """
+
+    step: str
+    peer: str
+    reason: str
+    detail: str = ""
+
+    def __str__(self) -> str:
+        peer = f" with {self.peer}" if self.peer else ""
+        detail = f": {self.detail}" if self.detail else ""
+        return f"{self.step}{peer} failed ({self.reason}){detail}"
--- /dev/null
+++ b/src/egretfork/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Mapping of datagrams to services, buckets and targets."""
--- /dev/null
+++ b/src/egretfork/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, used by the demo and the tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of egretfork."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,76 @@
+"""Runs all tests; passes over exactly those listed in KNOWN-RED.txt."""
+
+import pathlib
+import sys
+import unittest
+
+import hypothesis
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+# The same examples on every run, so that CI gives one verdict.
+hypothesis.settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.load_profile("ci")
+
+
+def read_known_red(path: pathlib.Path) -> frozenset[str]:
+    """Return the test names in a file of ``test: NAME`` lines."""
+    if not path.exists():
+        return frozenset()
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return frozenset(
+        line.partition(":")[2].strip()
+        for line in lines
+        if line.startswith("test:")
+    )
+
+
+def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
+    """Return the test cases of a nested suite."""
+    cases: list[unittest.TestCase] = []
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            cases.extend(flatten(item))
+        else:
+            cases.append(item)
+    return cases
+
+
+def main() -> int:
+    """Run the tests and print the closing line."""
+    known_red = read_known_red(KNOWN_RED)
+    names = sys.argv[1:]
+    loader = unittest.defaultTestLoader
+    suite = (
+        loader.loadTestsFromNames(names)
+        if names
+        else loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    )
+    cases = flatten(suite)
+    absent = known_red - {case.id() for case in cases}
+    if absent and not names:
+        print(f"KNOWN-RED.txt names tests that do not exist: {absent}")
+        return 1
+    selected = [case for case in cases if case.id() not in known_red]
+    result = unittest.TextTestRunner(verbosity=1).run(
+        unittest.TestSuite(selected)
+    )
+    for name in sorted(known_red):
+        print(f"known red, not run: {name}")
+    failed = len(result.failures) + len(result.errors)
+    failed += len(result.unexpectedSuccesses)
+    skipped = len(result.skipped) + len(cases) - len(selected)
+    passed = result.testsRun - failed - len(result.skipped)
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
