Define the events between the parts of the agent

Flows, requests and the target exchange are separate parts of one core; the events name the interface so that each can be written and tested alone.

--- /dev/null
+++ b/src/egretfork/agent/events.py
@@ -0,0 +1,174 @@
+"""Events into and actions out of the agent core and its parts."""
+
+import dataclasses
+import datetime
+
+from egretfork import actions
+from egretfork import model
+from egretfork import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; sent by the shell every 20 ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessageReceived:
+    """A message from an entry or another agent."""
+
+    peer: model.Endpoint
+    message: wire.AnyMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetDatagram:
+    """A CoAP datagram from the agent's own target."""
+
+    source: model.Endpoint
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A newer configuration is in force on this agent."""
+
+    configuration: model.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnnouncementsChanged:
+    """The known targets of the agent's own service."""
+
+    announcements: tuple[model.TargetAnnouncement, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainRequested:
+    """The target is to leave: no new work, flows move to others."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitRequest:
+    """From flows to requests: a caller's request, seen for the first time.
+
+    ``request_id`` of the body is unique within this agent's incarnation;
+    ``payload`` is the caller's CoAP message.
+    """
+
+    body: wire.RequestBody
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """From flows to requests: the caller no longer wants an answer."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFinished:
+    """From requests to flows: the outcome of a submitted request.
+
+    Attributes:
+        request_id: as submitted.
+        kind: answered, refused (surely not run) or unknown.
+        payload: the target's CoAP response if answered, else empty.
+        reason: value of ``reasons.Refusal`` or ``reasons.Unknown``.
+    """
+
+    request_id: int
+    kind: wire.WorkResultKind
+    payload: bytes
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """From requests to the target exchange: run this request now.
+
+    ``run_id`` is unique within this agent's incarnation.
+    """
+
+    run_id: int
+    payload: bytes
+    deadline: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRun:
+    """From requests to the target exchange: cancel a run."""
+
+    run_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnded:
+    """From the target exchange to requests: how a run ended.
+
+    Attributes:
+        run_id: as started.
+        kind: answered; refused if the target answered 5.03 or 4.29, which
+            states that it did not run; unknown after a timeout, a reset or
+            the loss of the target.
+        payload: the target's CoAP response, empty if there is none.
+        reason: value of ``reasons.Unknown`` if unknown.
+    """
+
+    run_id: int
+    kind: wire.WorkResultKind
+    payload: bytes
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """From the target exchange to requests: a probe's result.
+
+    Attributes:
+        healthy: whether the probe was answered with 2.05.
+        draining: the target says that it is leaving.
+        shedding: the target asks for less work.
+        slots_used: load the target claims, ``None`` if not reported.
+    """
+
+    healthy: bool
+    draining: bool
+    shedding: bool
+    slots_used: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """Publish a change of the agent's own target."""
+
+    state: model.TargetState
+    weight: float
+
+
+Event = (
+    Tick
+    | MessageReceived
+    | TargetDatagram
+    | ConfigurationChanged
+    | AnnouncementsChanged
+    | DrainRequested
+    | SubmitRequest
+    | CancelRequest
+    | RunEnded
+    | TargetReport
+    | RequestFinished
+)
+
+Action = (
+    actions.SendMessage
+    | actions.SendToTarget
+    | actions.CountReason
+    | actions.LogEvent
+    | SubmitRequest
+    | CancelRequest
+    | RequestFinished
+    | StartRun
+    | CancelRun
+    | Announce
+)
