--- /dev/null
+++ b/src/egretfork/bench/program.py
@@ -0,0 +1,42 @@
+"""Command ``egretfork-bench``: one subcommand for each measurement.
+
+A subcommand is the click command named ``command`` in the module
+``egretfork.bench.NAME``; it is imported only when it is run, so that a
+measurement of memory holds nothing of the others.
+"""
+
+import importlib
+import typing
+
+import click
+
+import egretfork
+
+COMMANDS = ("control", "entry", "flows", "gossip", "requests")
+
+
+class LazyGroup(click.Group):
+    """Group that imports a subcommand when it is asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of the measurements."""
+        return list(COMMANDS)
+
+    def get_command(
+        self, ctx: click.Context, cmd_name: str
+    ) -> click.Command | None:
+        """Import one measurement."""
+        if cmd_name not in COMMANDS:
+            return None
+        module = importlib.import_module(f"egretfork.bench.{cmd_name}")
+        return typing.cast(click.Command, module.command)
+
+
+@click.group(cls=LazyGroup)
+@click.version_option(egretfork.__version__)
+def main() -> None:
+    """Measure parts of egretfork and print the figures as JSON."""
+
+
+if __name__ == "__main__":
+    main()
