--- a/src/egretfork/coap.py
+++ b/src/egretfork/coap.py
@@ -30,6 +30,7 @@
 MAX_DEADLINE = datetime.timedelta(minutes=5)
 MAX_UINT_BYTES = 4
 HEADER_BYTES = 4
+VERSION = 1
 
 IDEMPOTENT_CODES = frozenset(
     (codes.GET, codes.PUT, codes.DELETE, codes.FETCH, codes.iPATCH)
@@ -87,16 +88,9 @@
 
 def decode(data: bytes, peer: str) -> aiocoap.Message | reasons.Failure:
     """Decode a datagram received from ``peer``."""
-    if len(data) < HEADER_BYTES:
-        return _report_damage(peer, "shorter than the CoAP header")
-    # aiocoap accepts token lengths 9 to 15, which RFC 7252 section 3
-    # defines as a message format error.
-    if data[0] & 0x0F > MAX_TOKEN_BYTES:
-        return _report_damage(peer, "token length over 8")
-    if len(data) < HEADER_BYTES + (data[0] & 0x0F):
-        return _report_damage(peer, "token cut off")
-    if data[1] == 0 and len(data) != HEADER_BYTES:
-        return _report_damage(peer, "empty message with content")
+    damage = find_header_damage(data)
+    if damage is not None:
+        return _report_damage(peer, damage)
     try:
         message = aiocoap.Message.decode(data)
         # Options are decoded lazily for some types; force it here so that
@@ -109,11 +103,33 @@
         AttributeError,
         TypeError,
         OverflowError,
-    ) as damage:
-        return _report_damage(peer, str(damage))
+    ) as cause:
+        return _report_damage(peer, str(cause))
     return message
 
 
+def find_header_damage(data: bytes) -> str | None:
+    """Check version, token and length without decoding the options.
+
+    Returns:
+        What is wrong, or ``None``.
+    """
+    if len(data) < HEADER_BYTES:
+        return "shorter than the CoAP header"
+    if data[0] >> 6 != VERSION:
+        return "not CoAP version 1"
+    token_bytes = data[0] & 0x0F
+    # aiocoap accepts token lengths 9 to 15, which RFC 7252 section 3
+    # defines as a message format error.
+    if token_bytes > MAX_TOKEN_BYTES:
+        return "token length over 8"
+    if len(data) < HEADER_BYTES + token_bytes:
+        return "token cut off"
+    if data[1] == 0 and len(data) != HEADER_BYTES:
+        return "empty message with content"
+    return None
+
+
 def _report_damage(peer: str, detail: str) -> reasons.Failure:
     return reasons.Failure(
         step="decode CoAP message",
--- /dev/null
+++ b/src/egretfork/entry/core.py
@@ -0,0 +1,143 @@
+"""Decisions of an entry: which agent receives a caller's datagram."""
+
+import dataclasses
+import datetime
+
+from egretfork import actions
+from egretfork import coap
+from egretfork import model
+from egretfork import reasons
+from egretfork.routing import ranking
+from egretfork.routing import table
+from egretfork import wire
+
+# Leaves room for the fields of ``wire.Forwarded`` around the payload.
+MAX_PAYLOAD_BYTES = wire.MAX_DATAGRAM_BYTES - 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerDatagram:
+    """A datagram from a caller to a service address."""
+
+    flow: wire.FlowKey
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessageReceived:
+    """A message from an agent."""
+
+    peer: model.Endpoint
+    message: wire.AnyMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A configuration arrived."""
+
+    configuration: model.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnnouncementsChanged:
+    """All announcements known to this node."""
+
+    announcements: tuple[model.TargetAnnouncement, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatagramRejected:
+    """A datagram could not be read as what it should be."""
+
+    failure: reasons.Failure
+
+
+Event = (
+    CallerDatagram
+    | MessageReceived
+    | ConfigurationChanged
+    | AnnouncementsChanged
+    | DatagramRejected
+)
+
+Action = actions.SendMessage | actions.SendToCaller | actions.CountReason
+
+
+class EntryCore:
+    """Maps datagrams to agents; holds no state of a flow."""
+
+    def __init__(self, address: model.Endpoint) -> None:
+        """Create a core.
+
+        Args:
+            address: UDP address to which agents send answers.
+        """
+        self._address = address
+        self._table = table.RoutingTable()
+
+    @property
+    def configuration(self) -> model.Configuration:
+        """Return the configuration in force."""
+        return self._table.configuration
+
+    def handle(self, event: Event, now: datetime.timedelta) -> list[Action]:
+        """Return the actions that an event causes."""
+        match event:
+            case CallerDatagram():
+                return [self._forward(event)]
+            case MessageReceived():
+                return [_return(event.message)]
+            case ConfigurationChanged():
+                self._set_configuration(event.configuration)
+            case AnnouncementsChanged():
+                self._table.set_announcements(event.announcements)
+            case DatagramRejected():
+                return [actions.CountReason(reasons.Drop.MALFORMED)]
+        return []
+
+    def _forward(self, datagram: CallerDatagram) -> Action:
+        flow = datagram.flow
+        payload = datagram.payload
+        version = self._table.configuration.version
+        if version == 0:
+            return actions.CountReason(reasons.Drop.NO_CONFIGURATION)
+        service_table = self._table.find_service(flow.service_address)
+        if service_table is None:
+            return actions.CountReason(reasons.Drop.UNKNOWN_ADDRESS)
+        if (
+            len(payload) > MAX_PAYLOAD_BYTES
+            or coap.find_header_damage(payload) is not None
+        ):
+            return actions.CountReason(reasons.Drop.MALFORMED)
+        service = service_table.service.name
+        bucket = ranking.find_bucket(service, flow.caller)
+        agents = service_table.find_agents(bucket)
+        if not agents:
+            return actions.CountReason(reasons.Drop.NO_TARGETS)
+        message = wire.Forwarded(
+            service=service,
+            version=version,
+            flow=flow,
+            bucket=bucket,
+            agents=agents,
+            position=0,
+            hops=0,
+            entry=self._address,
+            payload=payload,
+        )
+        return actions.SendMessage(agents[0], message)
+
+    def _set_configuration(self, configuration: model.Configuration) -> None:
+        present = self._table.configuration
+        if _order(configuration) > _order(present):
+            self._table.set_configuration(configuration)
+
+
+def _return(message: wire.AnyMessage) -> Action:
+    if isinstance(message, wire.Returned):
+        return actions.SendToCaller(message.flow, message.payload)
+    return actions.CountReason(reasons.Drop.MALFORMED)
+
+
+def _order(configuration: model.Configuration) -> tuple[int, int]:
+    return (configuration.version, configuration.record_revision)
--- /dev/null
+++ b/src/egretfork/entry/program.py
@@ -0,0 +1,160 @@
+"""Command ``egretfork-entry`` and its composition root."""
+
+import functools
+import pathlib
+import sys
+import typing
+
+import click
+import mode
+import msgspec
+
+import egretfork
+from egretfork import clock
+from egretfork.entry import ingress
+from egretfork.entry import shell
+from egretfork import metrics
+from egretfork import model
+from egretfork import reasons
+from egretfork import runtime
+from egretfork import settings
+
+
+class ProxySettings(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    tag_field="mode",
+    tag="proxy",
+):
+    """Datagrams arrive with a PROXY protocol version 2 header.
+
+    Attributes:
+        listen: UDP address on which the fabric delivers.
+        fabric: where answers go before the first datagram has arrived;
+            afterwards they go to the latest sender.
+    """
+
+    listen: str
+    fabric: str | None = None
+
+    def __post_init__(self) -> None:
+        """Check the addresses."""
+        settings.check_endpoint(self.listen, "ingress.listen")
+        if self.fabric is not None:
+            settings.check_endpoint(self.fabric, "ingress.fabric")
+
+
+class DirectSettings(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    tag_field="mode",
+    tag="direct",
+):
+    """Datagrams arrive on the service addresses themselves.
+
+    Attributes:
+        listen: UDP addresses to bind, ``0.0.0.0`` for all of the VM.
+    """
+
+    listen: typing.Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+
+    def __post_init__(self) -> None:
+        """Check the addresses."""
+        for index, address in enumerate(self.listen):
+            settings.check_endpoint(address, f"ingress.listen[{index}]")
+
+
+class EntrySettings(settings.Settings, frozen=True, kw_only=True):
+    """Settings of one entry.
+
+    Attributes:
+        port: UDP port on ``host`` to which agents send answers.
+        ingress: how callers' datagrams arrive.
+    """
+
+    port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    ingress: ProxySettings | DirectSettings
+
+    def __post_init__(self) -> None:
+        """Check the address of the process."""
+        settings.check_endpoint(f"{self.host}:{self.port}", "host")
+
+
+def build_ingress(
+    chosen: ProxySettings | DirectSettings, handler: ingress.Handler
+) -> ingress.Ingress:
+    """Create the ingress that the settings name."""
+    match chosen:
+        case ProxySettings():
+            return ingress.ProxyIngress(
+                model.parse_endpoint(chosen.listen),
+                handler,
+                model.parse_endpoint(chosen.fabric) if chosen.fabric else None,
+            )
+        case DirectSettings():
+            return ingress.DirectIngress(
+                tuple(map(model.parse_endpoint, chosen.listen)), handler
+            )
+
+
+def build_services(
+    chosen: EntrySettings,
+    build_source: shell.SourceFactory,
+    registry: metrics.Metrics,
+) -> tuple[mode.Service, ...]:
+    """Create the services of an entry."""
+    entry = shell.EntryService(
+        model.Endpoint(chosen.host, chosen.port),
+        functools.partial(build_ingress, chosen.ingress),
+        build_source,
+        registry,
+        clock.MonotonicClock(),
+    )
+    return (entry,)
+
+
+class IdleSource(mode.Service):
+    """Source that never delivers a configuration."""
+
+
+def build_idle_source(
+    *callbacks: typing.Any, **named: typing.Any
+) -> IdleSource:
+    """Create a source without connections to other nodes."""
+    return IdleSource()
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help="YAML settings file.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.version_option(egretfork.__version__)
+def main(path: pathlib.Path, check: bool) -> None:
+    """Forward callers' datagrams to agents.
+
+    Exit codes: 0 after a clean stop, 1 after a crash, 2 for settings that
+    are not valid.
+    """
+    chosen = settings.load(path, EntrySettings)
+    if isinstance(chosen, reasons.Failure):
+        click.echo(str(chosen), err=True)
+        sys.exit(runtime.EXIT_USAGE)
+    if check:
+        click.echo(f"{path}: settings are valid")
+        return
+    registry = metrics.Metrics()
+    services = build_services(chosen, build_idle_source, registry)
+    runtime.run("egretfork-entry", chosen, registry, services)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/egretfork/routing/table.py
@@ -0,0 +1,184 @@
+"""Lookup of services by address and of target lists by bucket."""
+
+import array
+import collections
+import collections.abc
+import fnmatch
+
+from egretfork import model
+from egretfork.routing import ranking
+
+Announcements = collections.abc.Iterable[model.TargetAnnouncement]
+
+MAX_BYTE_INDEX = 0xFF
+MAX_INDEX = 0xFFFF
+
+
+class ServiceTable:
+    """Target lists of one service.
+
+    The list of a bucket is computed when it is first needed and kept as
+    indexes into the targets.
+    """
+
+    def __init__(self, service: model.Service, targets: Announcements) -> None:
+        self.service = service
+        self.targets = tuple(targets)
+        self._candidates = tuple(map(ranking.build_candidate, self.targets))
+        wide = len(self._candidates) >= MAX_BYTE_INDEX
+        self._typecode = "H" if wide else "B"
+        self._absent = MAX_INDEX if wide else MAX_BYTE_INDEX
+        self._lists: array.array[int] | None = None
+
+    def find_agents(self, bucket: int) -> tuple[model.Endpoint, ...]:
+        """Return the agent addresses of a bucket, best first."""
+        if not self._candidates:
+            return ()
+        if self._lists is None:
+            self._lists = self._allocate_lists()
+        start = bucket * ranking.LIST_LENGTH
+        if self._lists[start] == self._absent:
+            self._fill_list(self._lists, bucket)
+        indexes = self._lists[start : start + ranking.LIST_LENGTH]
+        candidates = self._candidates
+        absent = self._absent
+        return tuple([candidates[i].address for i in indexes if i != absent])
+
+    def _allocate_lists(self) -> "array.array[int]":
+        length = ranking.BUCKETS * ranking.LIST_LENGTH
+        return array.array(self._typecode, [self._absent]) * length
+
+    def _fill_list(self, lists: "array.array[int]", bucket: int) -> None:
+        ranked = ranking.rank_candidates(self._candidates, bucket)
+        start = bucket * ranking.LIST_LENGTH
+        lists[start : start + len(ranked)] = array.array(
+            self._typecode, ranked
+        )
+
+
+class RoutingTable:
+    """Services and targets of one configuration and set of announcements.
+
+    The content depends only on the latest configuration and announcements
+    given, not on their order or on earlier ones. A change recomputes only
+    the services that it concerns.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = model.Configuration()
+        self._targets: dict[str, tuple[model.TargetAnnouncement, ...]] = {}
+        self._services: dict[str, ServiceTable] = {}
+        self._addresses: dict[model.Endpoint, ServiceTable] = {}
+
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force."""
+        self.configuration = configuration
+        self._services = {
+            service.name: self._renew_service(service)
+            for service in configuration.services
+        }
+        self._index_addresses()
+
+    def set_announcements(self, announcements: Announcements) -> None:
+        """Replace what is known about targets."""
+        self._targets = group_targets(announcements)
+        changed = [
+            (name, self._renew_service(table.service))
+            for name, table in self._services.items()
+        ]
+        if all(self._services[name] is table for name, table in changed):
+            return
+        self._services.update(changed)
+        self._index_addresses()
+
+    def find_service(self, address: model.Endpoint) -> ServiceTable | None:
+        """Return the service of a service address."""
+        return self._addresses.get(address)
+
+    def find_service_by_name(self, name: str) -> ServiceTable | None:
+        """Return a declared service."""
+        return self._services.get(name)
+
+    def _renew_service(self, service: model.Service) -> ServiceTable:
+        present = self._services.get(service.name)
+        targets = select_targets(service, self._targets.get(service.name, ()))
+        if present is None or present.targets != targets:
+            return ServiceTable(service, targets)
+        present.service = service
+        return present
+
+    def _index_addresses(self) -> None:
+        claims = [
+            (model.parse_endpoint(address), table)
+            for table in self._services.values()
+            for address in table.service.addresses
+        ]
+        owners = collections.Counter(
+            address
+            for address, name in {
+                (address, table.service.name) for address, table in claims
+            }
+        )
+        # Control refuses a file that gives one address to two services; if
+        # one arrives nevertheless, neither service gets its datagrams.
+        self._addresses = {
+            address: table for address, table in claims if owners[address] == 1
+        }
+
+
+def group_targets(
+    announcements: Announcements,
+) -> dict[str, tuple[model.TargetAnnouncement, ...]]:
+    """Return the newest announcement of each agent by service.
+
+    An agent serves one service, and one process listens on an address, so
+    only the newest announcement of an agent and of an address counts.
+    """
+    by_agent: dict[str, model.TargetAnnouncement] = {}
+    by_address: dict[model.Endpoint, model.TargetAnnouncement] = {}
+    for announcement in sorted(announcements, key=_sort_key):
+        by_agent[announcement.agent] = announcement
+        by_address[announcement.address] = announcement
+    groups = collections.defaultdict(list)
+    for name in sorted(by_agent):
+        announcement = by_agent[name]
+        if by_address[announcement.address] is announcement:
+            groups[announcement.service].append(announcement)
+    return {service: tuple(group) for service, group in groups.items()}
+
+
+def _sort_key(
+    announcement: model.TargetAnnouncement,
+) -> tuple[int, int, str, str, model.Endpoint, str, float]:
+    return (
+        *announcement.order,
+        announcement.agent,
+        announcement.service,
+        announcement.address,
+        announcement.state,
+        announcement.weight,
+    )
+
+
+def select_targets(
+    service: model.Service, announcements: Announcements
+) -> tuple[model.TargetAnnouncement, ...]:
+    """Return the announced targets that the service admits."""
+    return tuple(
+        announcement
+        for announcement in announcements
+        if announcement.state is not model.TargetState.LEFT
+        and _admits(service, announcement)
+    )
+
+
+def _admits(
+    service: model.Service, announcement: model.TargetAnnouncement
+) -> bool:
+    zones = service.availability_zones
+    if zones and announcement.availability_zone not in zones:
+        return False
+    return any(
+        fnmatch.fnmatchcase(announcement.agent, pattern)
+        for pattern in service.targets
+    )
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,353 @@
+"""Datagrams reach agents of their own service or are dropped and counted."""
+
+import asyncio
+import datetime
+import socket
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import mode
+
+from egretfork import actions
+from egretfork import clock
+from egretfork.entry import core
+from egretfork.entry import ingress
+from egretfork.entry import program
+from egretfork.entry import proxy
+from egretfork.entry import shell
+from egretfork import metrics
+from egretfork import model
+from egretfork import reasons
+from egretfork import settings
+from egretfork import wire
+
+ENTRY = model.Endpoint("127.0.0.1", 6000)
+CALLER = model.Endpoint("10.9.0.1", 40000)
+SERVICE = model.Endpoint("10.0.0.1", 5683)
+FLOW = wire.FlowKey(CALLER, SERVICE)
+PING = bytes((0x40, 0x00, 0x00, 0x01))
+NAMES = ("certdesk", "hatlog", "mdm-sync")
+PORTS = strategies.integers(1, 65535)
+
+
+def configure(
+    version: int, owners: dict[str, tuple[str, ...]]
+) -> model.Configuration:
+    services = tuple(
+        model.Service(name=name, addresses=owned, targets=(f"{name}-*",))
+        for name, owned in owners.items()
+    )
+    return model.Configuration(version=version, services=services)
+
+
+def announce(
+    service: str, agent: str, address: model.Endpoint, incarnation: int = 1
+) -> model.TargetAnnouncement:
+    return model.TargetAnnouncement(
+        service=service,
+        agent=agent,
+        incarnation=incarnation,
+        sequence=1,
+        address=address,
+        availability_zone="luzon-a",
+        state=model.TargetState.READY,
+    )
+
+
+def handle(entry: core.EntryCore, *events: core.Event) -> list[core.Action]:
+    results = [entry.handle(event, datetime.timedelta()) for event in events]
+    return results[-1]
+
+
+def build_ready_core(agent: model.Endpoint) -> core.EntryCore:
+    entry = core.EntryCore(ENTRY)
+    handle(
+        entry,
+        core.ConfigurationChanged(configure(3, {"hatlog": (str(SERVICE),)})),
+        core.AnnouncementsChanged((announce("hatlog", "hatlog-1", agent),)),
+    )
+    return entry
+
+
+AGENT = model.Endpoint("10.0.1.1", 7001)
+
+
+class EntryCoreTest(unittest.TestCase):
+    def test_datagram_goes_to_the_agent_of_its_service(self) -> None:
+        (action,) = handle(
+            build_ready_core(AGENT), core.CallerDatagram(FLOW, PING)
+        )
+        assert isinstance(action, actions.SendMessage)
+        self.assertEqual(action.peer, AGENT)
+        message = wire.decode(wire.encode(action.message), "entry")
+        assert isinstance(message, wire.Forwarded)
+        self.assertEqual(
+            (message.service, message.version, message.flow, message.payload),
+            ("hatlog", 3, FLOW, PING),
+        )
+        self.assertEqual((message.agents, message.entry), ((AGENT,), ENTRY))
+
+    def test_each_drop_has_its_reason(self) -> None:
+        # Guards against a drop that operators cannot see.
+        ready = build_ready_core(AGENT)
+        empty = core.EntryCore(ENTRY)
+        configuration = configure(1, {"hatlog": (str(SERVICE),)})
+        targetless = core.EntryCore(ENTRY)
+        handle(targetless, core.ConfigurationChanged(configuration))
+        other = wire.FlowKey(CALLER, model.Endpoint("10.0.0.9", 5683))
+        large = PING[:1] + b"\x01" + bytes(wire.MAX_DATAGRAM_BYTES)
+        drop = reasons.Drop
+        for entry, flow, payload, reason in (
+            (empty, FLOW, PING, drop.NO_CONFIGURATION),
+            (targetless, FLOW, PING, drop.NO_TARGETS),
+            (ready, other, PING, drop.UNKNOWN_ADDRESS),
+            (ready, FLOW, b"", drop.MALFORMED),
+            (ready, FLOW, b"\x49\x01\x00\x01" + bytes(9), drop.MALFORMED),
+            (ready, FLOW, b"\x80\x00\x00\x01", drop.MALFORMED),
+            (ready, FLOW, large, drop.MALFORMED),
+        ):
+            result = handle(entry, core.CallerDatagram(flow, payload))
+            self.assertEqual(result, [actions.CountReason(reason)])
+
+    def test_only_returned_messages_reach_callers(self) -> None:
+        entry = build_ready_core(AGENT)
+        returned = core.MessageReceived(AGENT, wire.Returned(FLOW, PING))
+        hint = core.MessageReceived(AGENT, wire.OwnerHint(FLOW, AGENT))
+        self.assertEqual(
+            handle(entry, returned), [actions.SendToCaller(FLOW, PING)]
+        )
+        self.assertEqual(
+            handle(entry, hint),
+            [actions.CountReason(reasons.Drop.MALFORMED)],
+        )
+
+    def test_older_configuration_is_ignored(self) -> None:
+        # Guards against a configuration that reverts.
+        entry = build_ready_core(AGENT)
+        handle(entry, core.ConfigurationChanged(configure(2, {})))
+        self.assertEqual(entry.configuration.version, 3)
+
+    @hypothesis.given(strategies.data())
+    @hypothesis.settings(max_examples=200)
+    def test_agent_of_another_service_never_gets_a_datagram(
+        self, data: strategies.DataObject
+    ) -> None:
+        # Guards against stale and fresh configurations and announcements
+        # that are mixed on an entry.
+        hosts = [f"10.0.0.{number}:5683" for number in range(1, 5)]
+        owners = {
+            host: data.draw(strategies.sampled_from(NAMES)) for host in hosts
+        }
+        entry = core.EntryCore(ENTRY)
+        agents = [model.Endpoint("10.0.1.1", 7000 + n) for n in range(6)]
+        # Each agent process serves one service in one incarnation; a later
+        # process on the same address may serve another.
+        lives = {
+            (agent, life): data.draw(strategies.sampled_from(NAMES))
+            for agent in agents
+            for life in (1, 2)
+        }
+        known: dict[model.Endpoint, int] = {}
+        for _ in range(data.draw(strategies.integers(1, 12))):
+            version = data.draw(strategies.integers(1, 5))
+            shown = data.draw(strategies.sets(strategies.sampled_from(hosts)))
+            declared = {
+                name: tuple(host for host in shown if owners[host] == name)
+                for name in NAMES
+            }
+            handle(
+                entry,
+                core.ConfigurationChanged(
+                    configure(
+                        version, {n: a for n, a in declared.items() if a}
+                    )
+                ),
+            )
+            seen = data.draw(
+                strategies.lists(strategies.sampled_from(sorted(lives)))
+            )
+            announcements = tuple(
+                announce(
+                    lives[key], f"{lives[key]}-{key[0].port}", key[0], key[1]
+                )
+                for key in seen
+            )
+            known = dict(sorted(seen))
+            handle(entry, core.AnnouncementsChanged(announcements))
+            for host in hosts:
+                flow = wire.FlowKey(CALLER, model.parse_endpoint(host))
+                (action,) = handle(entry, core.CallerDatagram(flow, PING))
+                if isinstance(action, actions.SendMessage):
+                    assert isinstance(action.message, wire.Forwarded)
+                    self.assertEqual(action.message.service, owners[host])
+                    for agent in action.message.agents:
+                        served = lives[agent, known[agent]]
+                        self.assertEqual(served, owners[host])
+
+
+class ProxyTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.ip_addresses(v=4), PORTS, PORTS, strategies.binary()
+    )
+    def test_header_round_trip(
+        self, host: object, source: int, port: int, payload: bytes
+    ) -> None:
+        flow = wire.FlowKey(
+            model.Endpoint(str(host), source), model.Endpoint("10.0.0.1", port)
+        )
+        self.assertEqual(
+            proxy.decode(proxy.encode(flow, payload), "peer"), (flow, payload)
+        )
+
+    @hypothesis.given(
+        strategies.integers(0, proxy.PREFIX.size - 1),
+        strategies.integers(1, 255),
+        strategies.integers(0, proxy.HEADER_BYTES - 1),
+        strategies.binary(max_size=60),
+    )
+    def test_damage_is_reported(
+        self, position: int, change: int, length: int, noise: bytes
+    ) -> None:
+        # Guards against a flow that is read out of a damaged header.
+        intact = proxy.encode(FLOW, b"")
+        damaged = bytearray(intact)
+        damaged[position] ^= change
+        for data in (bytes(damaged), intact[:length], noise):
+            result = proxy.decode(data, "peer")
+            self.assertIsInstance(result, reasons.Failure)
+
+    def test_type_length_values_are_skipped(self) -> None:
+        extended = bytearray(proxy.encode(FLOW, b"\x04\x00\x01xrest"))
+        extended[15] += 4
+        self.assertEqual(proxy.decode(bytes(extended), "p"), (FLOW, b"rest"))
+
+
+class SettingsTest(unittest.TestCase):
+    def test_faults_are_named(self) -> None:
+        common = "{name: e1, availability_zone: a, host: 127.0.0.1, port: 6, "
+        for text, detail in (
+            ("ingress: {mode: proxy, listen: x}}", "ingress.listen"),
+            ("ingress: {mode: direct, listen: []}}", "length >= 1"),
+            ("ingress: {mode: other}}", "other"),
+            ("ingress: {mode: proxy, listen: 127.0.0.1:7}, a: 1}", "`a`"),
+        ):
+            result = settings.parse(
+                common + text, program.EntrySettings, program.pathlib.Path("f")
+            )
+            assert isinstance(result, reasons.Failure)
+            self.assertIn(detail, result.detail)
+
+
+class FakeSource(mode.Service):
+    """Delivers one configuration and one agent when it starts."""
+
+    def __init__(
+        self,
+        on_configuration: object,
+        on_announcements: object,
+        service: model.Endpoint,
+        agent: model.Endpoint,
+    ) -> None:
+        super().__init__()
+        self._core_callbacks = (on_configuration, on_announcements)
+        self._service = service
+        self._agent = agent
+
+    async def on_start(self) -> None:
+        """Call back with fixed content."""
+        on_configuration, on_announcements = self._core_callbacks
+        assert callable(on_configuration) and callable(on_announcements)
+        on_configuration(configure(1, {"hatlog": (str(self._service),)}))
+        on_announcements((announce("hatlog", "hatlog-1", self._agent),))
+
+
+def open_socket(host: str = "127.0.0.1") -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.bind((host, 0))
+    opened.settimeout(10)
+    return opened
+
+
+def find_free_endpoint(host: str = "127.0.0.1") -> model.Endpoint:
+    with open_socket(host) as opened:
+        return model.Endpoint(*opened.getsockname())
+
+
+class ShellTest(unittest.IsolatedAsyncioTestCase):
+    async def exchange(
+        self,
+        service: model.Endpoint,
+        build: shell.IngressFactory,
+        data: bytes,
+        destination: model.Endpoint,
+    ) -> tuple[wire.Forwarded, bytes, tuple[str, int], model.Endpoint]:
+        """Send a datagram through an entry and return an answer."""
+        agent, caller = open_socket(), open_socket()
+        self.addCleanup(agent.close)
+        self.addCleanup(caller.close)
+        registry = metrics.Metrics()
+        agent_address = model.Endpoint(*agent.getsockname())
+        entry = shell.EntryService(
+            find_free_endpoint(),
+            build,
+            lambda on_configuration, on_announcements: FakeSource(
+                on_configuration, on_announcements, service, agent_address
+            ),
+            registry,
+            clock.MonotonicClock(),
+        )
+        await entry.start()
+        try:
+            caller.sendto(b"damage", destination_of(destination))
+            caller.sendto(data, destination_of(destination))
+            received = await asyncio.to_thread(agent.recv, 65535)
+            message = wire.decode(received, "entry")
+            assert isinstance(message, wire.Forwarded)
+            answer = wire.encode(wire.Returned(message.flow, b"answer"))
+            agent.sendto(answer, destination_of(message.entry))
+            reply, source = await asyncio.to_thread(caller.recvfrom, 65535)
+        finally:
+            await entry.stop()
+        dropped = registry.registry.get_sample_value(
+            "egretfork_reasons_total",
+            {"category": "drop", "reason": reasons.Drop.MALFORMED},
+        )
+        self.assertEqual(dropped, 1)
+        return message, reply, source, model.Endpoint(*caller.getsockname())
+
+    async def test_proxy_header_returns_to_its_sender(self) -> None:
+        listen = find_free_endpoint()
+        message, reply, source, _ = await self.exchange(
+            SERVICE,
+            lambda handler: ingress.ProxyIngress(listen, handler),
+            proxy.encode(FLOW, PING),
+            listen,
+        )
+        self.assertEqual(message.flow, FLOW)
+        self.assertEqual(proxy.decode(reply, "entry"), (FLOW, b"answer"))
+        self.assertEqual(source, destination_of(listen))
+
+    async def test_direct_answer_leaves_from_the_service_address(
+        self,
+    ) -> None:
+        # Guards against answers from an address that callers do not expect.
+        service = find_free_endpoint("127.0.0.7")
+        listen = model.Endpoint(ingress.WILDCARD, service.port)
+        message, reply, source, caller = await self.exchange(
+            service,
+            lambda handler: ingress.DirectIngress((listen,), handler),
+            PING,
+            service,
+        )
+        self.assertEqual(message.flow, wire.FlowKey(caller, service))
+        self.assertEqual(reply, b"answer")
+        self.assertEqual(source, destination_of(service))
+
+
+def destination_of(endpoint: model.Endpoint) -> tuple[str, int]:
+    return (endpoint.host, endpoint.port)
+
+
+if __name__ == "__main__":
+    unittest.main()
