--- a/src/egretfork/coap.py
+++ b/src/egretfork/coap.py
@@ -178,6 +178,19 @@
     return int.from_bytes(key[:6], "big")
 
 
+def build_request_key(time_ms: int, random_bytes: bytes) -> bytes:
+    """Build a Request-Key, a UUID version 7 (RFC 9562, section 5.7).
+
+    Args:
+        time_ms: Unix time in milliseconds.
+        random_bytes: ten random bytes.
+    """
+    key = bytearray(time_ms.to_bytes(6, "big") + random_bytes)
+    key[6] = key[6] & 0x0F | REQUEST_KEY_UUID_VERSION << 4
+    key[8] = key[8] & 0x3F | 0x80
+    return bytes(key)
+
+
 def find_unknown_critical_option(message: aiocoap.Message) -> int | None:
     """Return the first critical option that has no known meaning."""
     unknown = (
