--- a/src/egretfork/entry/proxy.py
+++ b/src/egretfork/entry/proxy.py
@@ -4,7 +4,6 @@
 follows the header in the same datagram.
 """
 
-import socket
 import struct
 
 from egretfork import model
@@ -14,29 +13,39 @@
 SIGNATURE = b"\r\n\r\n\x00\r\nQUIT\n"
 VERSION_2_PROXY = 0x21
 INET_DGRAM = 0x12
+HOST_BYTES = 4
 PREFIX = struct.Struct("!12sBBH")
+# Source host, destination host, source port, destination port.
 ADDRESSES = struct.Struct("!4s4sHH")
 HEADER_BYTES = PREFIX.size + ADDRESSES.size
+INTACT_PREFIX = PREFIX.pack(
+    SIGNATURE, VERSION_2_PROXY, INET_DGRAM, ADDRESSES.size
+)
 
 
-def encode(flow: wire.FlowKey, payload: bytes) -> bytes:
+def encode(flow: wire.FlowKey, payload: bytes) -> bytes | reasons.Failure:
     """Put the header of a flow in front of a datagram.
 
     The source is the caller and the destination the service address, in
-    both directions.
+    both directions. An address that does not fit gives a failure.
     """
     caller = flow.caller
     service = flow.service_address
-    prefix = PREFIX.pack(
-        SIGNATURE, VERSION_2_PROXY, INET_DGRAM, ADDRESSES.size
-    )
-    addresses = ADDRESSES.pack(
-        socket.inet_aton(caller.host),
-        socket.inet_aton(service.host),
-        caller.port,
-        service.port,
-    )
-    return prefix + addresses + payload
+    try:
+        addresses = ADDRESSES.pack(
+            _pack_host(caller.host),
+            _pack_host(service.host),
+            caller.port,
+            service.port,
+        )
+    except (ValueError, struct.error) as error:
+        return reasons.Failure(
+            step="encode PROXY header",
+            peer=str(caller),
+            reason=reasons.Drop.SEND_FAILED,
+            detail=str(error),
+        )
+    return INTACT_PREFIX + addresses + payload
 
 
 def decode(
@@ -61,12 +70,23 @@
     if not (source_port and port):
         return _report_damage(peer, "port 0")
     flow = wire.FlowKey(
-        caller=model.Endpoint(socket.inet_ntoa(source), source_port),
-        service_address=model.Endpoint(socket.inet_ntoa(destination), port),
+        caller=model.Endpoint(_format_host(source), source_port),
+        service_address=model.Endpoint(_format_host(destination), port),
     )
     return flow, data[end:]
 
 
+def _pack_host(host: str) -> bytes:
+    packed = bytes(map(int, host.split(".")))
+    if len(packed) != HOST_BYTES:
+        raise ValueError(f"{host!r} is not an IPv4 address")
+    return packed
+
+
+def _format_host(packed: bytes) -> str:
+    return "%d.%d.%d.%d" % tuple(packed)
+
+
 def _report_damage(peer: str, detail: str) -> reasons.Failure:
     return reasons.Failure(
         step="decode PROXY header",
--- a/src/egretfork/entry/shell.py
+++ b/src/egretfork/entry/shell.py
@@ -116,6 +116,7 @@
             case actions.SendMessage():
                 self._agents.send(wire.encode(action.message), action.peer)
             case actions.SendToCaller():
-                self._ingress.send(action.flow, action.payload)
+                if not self._ingress.send(action.flow, action.payload):
+                    self._registry.count(reasons.Drop.SEND_FAILED)
             case actions.CountReason():
                 self._registry.count(action.reason)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -18,6 +18,7 @@
 from egretfork.entry import shell
 from egretfork import metrics
 from egretfork import model
+from egretfork import pktinfo
 from egretfork import reasons
 from egretfork import settings
 from egretfork import wire
@@ -186,6 +187,12 @@
                         self.assertEqual(served, owners[host])
 
 
+def encode(payload: bytes) -> bytes:
+    encoded = proxy.encode(FLOW, payload)
+    assert isinstance(encoded, bytes)
+    return encoded
+
+
 class ProxyTest(unittest.TestCase):
     @hypothesis.given(
         strategies.ip_addresses(v=4), PORTS, PORTS, strategies.binary()
@@ -196,9 +203,9 @@
         flow = wire.FlowKey(
             model.Endpoint(str(host), source), model.Endpoint("10.0.0.1", port)
         )
-        self.assertEqual(
-            proxy.decode(proxy.encode(flow, payload), "peer"), (flow, payload)
-        )
+        encoded = proxy.encode(flow, payload)
+        assert isinstance(encoded, bytes)
+        self.assertEqual(proxy.decode(encoded, "peer"), (flow, payload))
 
     @hypothesis.given(
         strategies.integers(0, proxy.PREFIX.size - 1),
@@ -210,7 +217,7 @@
         self, position: int, change: int, length: int, noise: bytes
     ) -> None:
         # Guards against a flow that is read out of a damaged header.
-        intact = proxy.encode(FLOW, b"")
+        intact = encode(b"")
         damaged = bytearray(intact)
         damaged[position] ^= change
         for data in (bytes(damaged), intact[:length], noise):
@@ -218,10 +225,16 @@
             self.assertIsInstance(result, reasons.Failure)
 
     def test_type_length_values_are_skipped(self) -> None:
-        extended = bytearray(proxy.encode(FLOW, b"\x04\x00\x01xrest"))
+        extended = bytearray(encode(b"\x04\x00\x01xrest"))
         extended[15] += 4
         self.assertEqual(proxy.decode(bytes(extended), "p"), (FLOW, b"rest"))
 
+    def test_address_that_does_not_fit_is_reported(self) -> None:
+        # Guards against an exception on an agent's message.
+        for address in (("x", 1), ("10.0.0", 1), ("10.0.0.1", 65536)):
+            flow = wire.FlowKey(model.Endpoint(*address), SERVICE)
+            self.assertIsInstance(proxy.encode(flow, b""), reasons.Failure)
+
 
 class SettingsTest(unittest.TestCase):
     def test_faults_are_named(self) -> None:
@@ -321,7 +334,7 @@
         message, reply, source, _ = await self.exchange(
             SERVICE,
             lambda handler: ingress.ProxyIngress(listen, handler),
-            proxy.encode(FLOW, PING),
+            encode(PING),
             listen,
         )
         self.assertEqual(message.flow, FLOW)
@@ -333,7 +346,7 @@
     ) -> None:
         # Guards against answers from an address that callers do not expect.
         service = find_free_endpoint("127.0.0.7")
-        listen = model.Endpoint(ingress.WILDCARD, service.port)
+        listen = model.Endpoint(pktinfo.WILDCARD, service.port)
         message, reply, source, caller = await self.exchange(
             service,
             lambda handler: ingress.DirectIngress((listen,), handler),
