Add replicated configuration with control processes and client

The sequence in a message between members is that of the last durable write, not that of the core, because a message may precede a later write of the same event.

Ruled out: sending through the synchronous base class of an asyncio socket (fails with EAGAIN at shutdown and leaves a future unread).

--- /dev/null
+++ b/src/egretfork/control/api.py
@@ -0,0 +1,212 @@
+"""Queries of the operators' client and the replies of control.
+
+Query and reply travel as one MessagePack frame over a DEALER socket. A
+reply carries the number of its query.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from egretfork.control import commands
+from egretfork.control import entries
+from egretfork import model
+from egretfork import reasons
+
+
+class Submit(msgspec.Struct, frozen=True, array_like=True, tag="submit"):
+    """Carry out a command."""
+
+    number: int
+    command: commands.OperatorCommand
+
+
+class Show(msgspec.Struct, frozen=True, array_like=True, tag="show"):
+    """Read the newest configuration."""
+
+    number: int
+
+
+class History(msgspec.Struct, frozen=True, array_like=True, tag="history"):
+    """Read outcomes; of one request if ``request_id`` is not empty."""
+
+    number: int
+    request_id: str = ""
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """Read the state of the process that is asked."""
+
+    number: int
+
+
+class AddMember(msgspec.Struct, frozen=True, array_like=True, tag="add"):
+    """Add a learner."""
+
+    number: int
+    member: entries.Member
+
+
+class PromoteMember(
+    msgspec.Struct, frozen=True, array_like=True, tag="promote"
+):
+    """Give a learner a vote."""
+
+    number: int
+    identity: str
+
+
+class RemoveMember(msgspec.Struct, frozen=True, array_like=True, tag="remove"):
+    """Remove a member."""
+
+    number: int
+    identity: str
+
+
+Query = (
+    Submit | Show | History | Status | AddMember | PromoteMember | RemoveMember
+)
+
+
+class Redirect(msgspec.Struct, frozen=True, tag="redirect"):
+    """This member does not lead; nothing was done.
+
+    Attributes:
+        leader: address of the leader if it is known.
+    """
+
+    number: int
+    leader: model.Endpoint | None
+
+
+class Concluded(msgspec.Struct, frozen=True, tag="concluded"):
+    """Result of a command."""
+
+    number: int
+    outcome: commands.Outcome
+
+
+class OutcomeUnknown(msgspec.Struct, frozen=True, tag="unknown"):
+    """The command may or may not take effect."""
+
+    number: int
+    detail: str
+
+
+class QueryRefused(msgspec.Struct, frozen=True, tag="refused"):
+    """The query was refused and had no effect."""
+
+    number: int
+    reason: reasons.ControlRefusal
+    detail: str
+
+
+class MembersChanged(msgspec.Struct, frozen=True, tag="members_changed"):
+    """A change of members is committed."""
+
+    number: int
+    members: tuple[entries.Member, ...]
+
+
+class Shown(msgspec.Struct, frozen=True, tag="shown"):
+    """The newest configuration and who applied it."""
+
+    number: int
+    configuration: model.Configuration
+    author: str
+
+
+class HistoryRead(msgspec.Struct, frozen=True, tag="history_read"):
+    """Outcomes, newest first."""
+
+    number: int
+    outcomes: tuple[commands.Outcome, ...]
+
+
+class QuarantineStatus(msgspec.Struct, frozen=True):
+    """A released address and the nodes that hold it back.
+
+    Attributes:
+        waiting_count: number of known nodes that have not confirmed.
+        waiting_nodes: the first of them.
+    """
+
+    quarantined: commands.Quarantined
+    waiting_count: int
+    waiting_nodes: tuple[str, ...]
+
+
+class MemberStatus(enum.StrEnum):
+    """Whether a process takes part."""
+
+    ACTIVE = "active"
+    UNVERIFIED = "unverified"
+    ROLLED_BACK = "rolled_back"
+    STORAGE_FAILED = "storage_failed"
+
+
+class StatusRead(msgspec.Struct, frozen=True, tag="status_read"):
+    """State of one control process as it knows it."""
+
+    number: int
+    identity: str
+    name: str
+    status: MemberStatus
+    detail: str
+    role: str
+    term: int
+    leader: str
+    version: int
+    record_revision: int
+    commit_index: int
+    last_index: int
+    members: tuple[entries.Member, ...]
+    known_nodes: int
+    forgotten_nodes: tuple[str, ...]
+    drained_agents: tuple[str, ...]
+    quarantine: tuple[QuarantineStatus, ...]
+
+
+Reply = (
+    Redirect
+    | Concluded
+    | OutcomeUnknown
+    | QueryRefused
+    | MembersChanged
+    | Shown
+    | HistoryRead
+    | StatusRead
+)
+
+Incoming = entries.Envelope | Query
+
+_INCOMING: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
+    Incoming
+)
+_REPLY: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(Reply)
+
+
+def encode(message: entries.Envelope | Query | Reply) -> bytes:
+    """Encode one frame."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_incoming(data: bytes, peer: str) -> Incoming | reasons.Failure:
+    """Decode a frame that control received."""
+    try:
+        return typing.cast(Incoming, _INCOMING.decode(data))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return reasons.Failure(
+            "decode frame", peer, reasons.Drop.MALFORMED, str(error)
+        )
+
+
+def decode_reply(data: bytes, peer: str) -> Reply | reasons.Failure:
+    """Decode a frame that a client received."""
+    try:
+        return typing.cast(Reply, _REPLY.decode(data))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return reasons.Failure(
+            "decode reply", peer, reasons.Drop.MALFORMED, str(error)
+        )
--- /dev/null
+++ b/src/egretfork/control/reading.py
@@ -0,0 +1,67 @@
+"""Status of one control process as operators read it."""
+
+import dataclasses
+
+from egretfork.control import api
+from egretfork.control import commands
+from egretfork.control import nodes
+from egretfork.control import raft
+from egretfork.control import state
+
+SHOWN_WAITING_NODES = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Parts of a control process that its status describes."""
+
+    name: str
+    status: api.MemberStatus
+    detail: str
+    consensus: raft.Raft
+    state: state.State
+    nodes: nodes.NodeKeeper
+
+
+def read_status(source: Source, number: int) -> api.StatusRead:
+    """Return the status as the reply to a query."""
+    consensus = source.consensus
+    current = source.state
+    return api.StatusRead(
+        number=number,
+        identity=consensus.identity,
+        name=source.name,
+        status=_choose_status(source),
+        detail=source.detail,
+        role=consensus.role if consensus.is_voter else "learner",
+        term=consensus.term,
+        leader=consensus.leader,
+        version=current.version,
+        record_revision=current.record_revision,
+        commit_index=consensus.commit,
+        last_index=consensus.log.last_index,
+        members=consensus.log.members,
+        known_nodes=len(current.nodes),
+        forgotten_nodes=tuple(sorted(current.forgotten)),
+        drained_agents=current.drained,
+        quarantine=tuple(
+            _read_quarantine(source, item)
+            for item in sorted(current.quarantine.values())
+        ),
+    )
+
+
+def _choose_status(source: Source) -> api.MemberStatus:
+    if source.status is api.MemberStatus.ACTIVE:
+        if not source.consensus.verified:
+            return api.MemberStatus.UNVERIFIED
+    return source.status
+
+
+def _read_quarantine(
+    source: Source, item: commands.Quarantined
+) -> api.QuarantineStatus:
+    waiting = source.nodes.list_waiting(source.state.nodes, item)
+    return api.QuarantineStatus(
+        item, len(waiting), tuple(waiting[:SHOWN_WAITING_NODES])
+    )
--- /dev/null
+++ b/src/egretfork/control/shell.py
@@ -0,0 +1,232 @@
+"""Sockets and files of a control process; makes no decisions."""
+
+import asyncio
+import datetime
+import logging
+import typing
+
+import mode
+import zmq
+import zmq.asyncio
+
+from egretfork import clock
+from egretfork.control import api
+from egretfork.control import commands
+from egretfork.control import core
+from egretfork.control import entries
+from egretfork.control import events
+from egretfork.control import storage
+from egretfork import logs
+from egretfork import metrics
+from egretfork import model
+from egretfork import reasons
+
+LOGGER = logging.getLogger(__name__)
+
+TICK = datetime.timedelta(milliseconds=50)
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+SEND_QUEUE_MESSAGES = 256
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+
+# Bounds the time for which a connection to a VM that vanished is kept.
+UNACKNOWLEDGED_MAX_MS = 4000
+
+
+class Dissemination(typing.Protocol):
+    """What control needs of the gossip service."""
+
+    def publish(self, configuration: model.Configuration) -> None:
+        """Spread a configuration that is committed."""
+
+
+class ControlService(mode.Service):
+    """Serves members and clients on one TCP address."""
+
+    def __init__(
+        self,
+        address: model.Endpoint,
+        decisions: core.ControlCore,
+        files: storage.Storage,
+        dissemination: Dissemination,
+        time: clock.Clock,
+        registry: metrics.Metrics,
+    ) -> None:
+        super().__init__()
+        self._address = address
+        self._core = decisions
+        self._files = files
+        self._dissemination = dissemination
+        self._time = time
+        self._registry = registry
+        self._context: zmq.asyncio.Context | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._peers: dict[model.Endpoint, zmq.asyncio.Socket] = {}
+        self._addresses: dict[str, model.Endpoint] = {}
+
+    @property
+    def registry(self) -> metrics.Metrics:
+        """Return the metrics of the process."""
+        return self._registry
+
+    async def on_start(self) -> None:
+        """Bind the socket and publish what is committed on disk.
+
+        Raises:
+            zmq.ZMQError: the address cannot be bound.
+        """
+        self._context = zmq.asyncio.Context()
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self._router.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+        self._router.bind(f"tcp://{self._address}")
+        if self._core.configuration.version:
+            self._dissemination.publish(self._core.configuration)
+
+    async def on_stop(self) -> None:
+        """Close all sockets."""
+        for peer in self._peers.values():
+            peer.close()
+        if self._router is not None:
+            self._router.close()
+        if self._context is not None:
+            self._context.term()
+
+    def note_announcements(
+        self, announcements: tuple[model.TargetAnnouncement, ...]
+    ) -> None:
+        """Take the newest announcements from the gossip service."""
+        self._handle(core.Announced(announcements))
+
+    def note_confirmations(
+        self, confirmations: tuple[commands.NodeVersion, ...]
+    ) -> None:
+        """Take the versions that nodes have in force from gossip."""
+        self._handle(core.Confirmed(confirmations))
+
+    @mode.Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            self._handle(events.Tick())
+            await asyncio.sleep(TICK.total_seconds())
+
+    @mode.Service.task
+    async def _receive(self) -> None:
+        router = self._router
+        if router is None:
+            return
+        while not self.should_stop:
+            frames = await router.recv_multipart()
+            if len(frames) != 2:
+                self._count_malformed("receive frames", f"{len(frames)} parts")
+                continue
+            self._on_frame(frames[0], frames[1])
+
+    def _on_frame(self, client: bytes, data: bytes) -> None:
+        incoming = api.decode_incoming(data, client.hex())
+        if isinstance(incoming, reasons.Failure):
+            self._count_malformed(incoming.step, incoming.detail)
+        elif not isinstance(incoming, entries.Envelope):
+            self._handle(core.QueryReceived(client, incoming))
+        elif incoming.receiver == self._core.consensus.identity:
+            self._addresses[incoming.sender] = incoming.address
+            self._handle(
+                events.Received(
+                    incoming.sender, incoming.sequence, incoming.message
+                )
+            )
+
+    def _count_malformed(self, step: str, detail: str) -> None:
+        self._registry.count(reasons.Drop.MALFORMED)
+        logs.write(LOGGER, "malformed_frame", step=step, detail=detail)
+
+    def _handle(self, event: core.CoreEvent) -> None:
+        actions = self._core.handle(event, self._time.now())
+        try:
+            for action in actions:
+                self._carry_out(action)
+        except storage.StorageError as error:
+            self._report_storage(str(error))
+            self._handle(core.SaveFailed(str(error)))
+
+    def _report_storage(self, detail: str) -> None:
+        self._registry.count(reasons.ControlRefusal.STORAGE_FAILED)
+        logs.write(
+            LOGGER,
+            "storage_failed",
+            step="save",
+            detail=detail,
+            level=logging.ERROR,
+        )
+
+    def _carry_out(self, action: core.CoreAction) -> None:
+        match action:
+            case events.Send():
+                self._send_peer(action)
+            case core.Answer():
+                self._answer(action)
+            case core.Publish():
+                self._dissemination.publish(action.configuration)
+            case _:
+                self._files.save(action)
+
+    def _send_peer(self, action: events.Send) -> None:
+        address = self._find_address(action.receiver)
+        if address is None:
+            return
+        envelope = entries.Envelope(
+            sender=self._core.consensus.identity,
+            receiver=action.receiver,
+            address=self._address,
+            sequence=self._files.sequence,
+            message=action.message,
+        )
+        self._send(self._connect(address), [api.encode(envelope)])
+
+    def _find_address(self, identity: str) -> model.Endpoint | None:
+        found = (
+            member.address
+            for member in self._core.consensus.log.members
+            if member.identity == identity
+        )
+        return next(found, self._addresses.get(identity))
+
+    def _connect(self, address: model.Endpoint) -> zmq.asyncio.Socket:
+        known = self._peers.get(address)
+        if known is not None:
+            return known
+        if self._context is None:
+            raise RuntimeError("the service is not started")
+        peer = self._context.socket(zmq.DEALER)
+        peer.setsockopt(zmq.LINGER, 0)
+        peer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        # Without a connection messages are lost at once; the core repeats.
+        peer.setsockopt(zmq.IMMEDIATE, 1)
+        peer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        peer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        peer.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+        peer.connect(f"tcp://{address}")
+        self._peers[address] = peer
+        return peer
+
+    def _answer(self, action: core.Answer) -> None:
+        if isinstance(action.reply, api.QueryRefused):
+            self._registry.count(action.reply.reason)
+        elif isinstance(action.reply, api.Concluded):
+            self._count_outcome(action.reply.outcome)
+        if self._router is not None:
+            frames = [action.client, api.encode(action.reply)]
+            self._send(self._router, frames)
+
+    def _count_outcome(self, outcome: commands.Outcome) -> None:
+        if outcome.reason:
+            self._registry.count(reasons.ControlRefusal(outcome.reason))
+
+    def _send(self, peer: zmq.asyncio.Socket, frames: list[bytes]) -> None:
+        # The result is there at once; a message that does not fit is lost.
+        sent = typing.cast(
+            "asyncio.Future[object]", peer.send_multipart(frames, zmq.DONTWAIT)
+        )
+        if sent.exception() is not None:
+            self._registry.count(reasons.Drop.SEND_FAILED)
--- /dev/null
+++ b/src/egretfork/control/state.py
@@ -0,0 +1,292 @@
+"""Replicated state machine: the same commands give the same state."""
+
+import msgspec
+import xxhash
+
+from egretfork.control import commands
+from egretfork import document
+from egretfork import model
+from egretfork import reasons
+
+KEPT_REQUESTS = 1024
+MAX_DRAINED_AGENTS = 4096
+
+
+class AppliedRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Outcome of a request identity and a hash of what it asked for."""
+
+    digest: int
+    outcome: commands.Outcome
+
+
+class State(msgspec.Struct):
+    """Everything that the state machine holds.
+
+    Attributes:
+        applied: the newest outcomes by request identity, oldest first.
+        groups: newest record group of each service that ever had one.
+        quarantine: released addresses by address.
+        nodes: names of the nodes and agents that have to confirm versions.
+        forgotten: newest version when an operator gave up on a node.
+    """
+
+    version: int = 0
+    author: str = ""
+    services: tuple[model.Service, ...] = ()
+    record_revision: int = 0
+    groups: dict[str, model.RecordGroup] = {}
+    drained: tuple[str, ...] = ()
+    applied: dict[str, AppliedRequest] = {}
+    quarantine: dict[str, commands.Quarantined] = {}
+    nodes: set[str] = set()
+    forgotten: dict[str, int] = {}
+
+
+class StateMachine:
+    """Applies committed commands in order."""
+
+    def __init__(self, encoded: bytes = b"") -> None:
+        self.state = (
+            msgspec.msgpack.decode(encoded, type=State) if encoded else State()
+        )
+        self.configuration = self._build_configuration()
+
+    def encode(self) -> bytes:
+        """Return the state for a snapshot."""
+        return msgspec.msgpack.encode(self.state)
+
+    def apply(self, command: commands.Command) -> commands.Outcome | None:
+        """Apply a command; return the outcome of an operator's one."""
+        outcome: commands.Outcome | None = None
+        match command:
+            case commands.RegisterNodes():
+                self._register_nodes(command)
+            case commands.ReleaseAddresses():
+                self._release(command)
+            case commands.SetRecordGroups():
+                self._set_groups(command)
+            case _:
+                outcome = self._apply_once(command)
+        self.configuration = self._build_configuration()
+        return outcome
+
+    def find(self, request_id: str) -> commands.Outcome | None:
+        """Return the outcome of a request among those that are kept."""
+        found = self.state.applied.get(request_id)
+        return found.outcome if found else None
+
+    def list_outcomes(self) -> tuple[commands.Outcome, ...]:
+        """Return the kept outcomes, newest first."""
+        return tuple(
+            item.outcome for item in reversed(self.state.applied.values())
+        )
+
+    # Commands of operators
+
+    def _apply_once(
+        self, command: commands.OperatorCommand
+    ) -> commands.Outcome:
+        digest = _digest(command)
+        known = self.state.applied.get(command.request_id)
+        if known is not None:
+            return self._repeat(known, digest, command)
+        outcome = self._decide(command)
+        self.state.applied[command.request_id] = AppliedRequest(
+            digest, outcome
+        )
+        if len(self.state.applied) > KEPT_REQUESTS:
+            del self.state.applied[next(iter(self.state.applied))]
+        return outcome
+
+    def _repeat(
+        self,
+        known: AppliedRequest,
+        digest: int,
+        command: commands.OperatorCommand,
+    ) -> commands.Outcome:
+        if known.digest == digest:
+            return known.outcome
+        return self._refuse(
+            command,
+            reasons.ControlRefusal.REQUEST_ID_REUSED,
+            "this request identity was used for another command",
+        )
+
+    def _decide(self, command: commands.OperatorCommand) -> commands.Outcome:
+        match command:
+            case commands.Apply():
+                return self._apply_services(command)
+            case commands.Drain():
+                return self._drain(command)
+            case commands.ForgetNode():
+                return self._forget(command)
+
+    def _apply_services(self, command: commands.Apply) -> commands.Outcome:
+        if command.base_version != self.state.version:
+            return self._refuse(
+                command,
+                reasons.ControlRefusal.STALE_BASE,
+                f"the newest version is {self.state.version} by"
+                f" {self.state.author or 'nobody'}, not"
+                f" {command.base_version}",
+            )
+        problem = document.check_services(command.services)
+        if problem:
+            return self._refuse(
+                command, reasons.ControlRefusal.INVALID_DOCUMENT, problem
+            )
+        blocked = self._find_blocked(command.services)
+        if blocked:
+            return self._refuse(
+                command, reasons.ControlRefusal.ADDRESS_IN_QUARANTINE, blocked
+            )
+        self._put_in_force(command)
+        return self._accept(command)
+
+    def _find_blocked(self, services: tuple[model.Service, ...]) -> str:
+        """Return why an address can't be taken yet, empty if none is."""
+        owners = {
+            address: service.name
+            for service in self.state.services
+            for address in service.addresses
+        }
+        held = {
+            address: item.service
+            for address, item in self.state.quarantine.items()
+        }
+        return next(
+            (
+                f"address {address} of service {service.name!r} was released"
+                f" by {(owners | held)[address]!r}; not every node has"
+                " confirmed a version without it"
+                for service in services
+                for address in service.addresses
+                if (owners | held).get(address, service.name) != service.name
+            ),
+            "",
+        )
+
+    def _put_in_force(self, command: commands.Apply) -> None:
+        self.state.version += 1
+        self.state.author = command.author
+        taken = {
+            address
+            for service in command.services
+            for address in service.addresses
+        }
+        released = {
+            address: commands.Quarantined(
+                address, service.name, self.state.version
+            )
+            for service in self.state.services
+            for address in service.addresses
+            if address not in taken
+        }
+        self.state.quarantine = {
+            address: item
+            for address, item in (self.state.quarantine | released).items()
+            if address not in taken
+        }
+        self.state.services = document.sort_services(command.services)
+
+    def _drain(self, command: commands.Drain) -> commands.Outcome:
+        marked = set(self.state.drained)
+        if command.cancel:
+            marked.discard(command.agent)
+        else:
+            marked.add(command.agent)
+        if len(marked) > MAX_DRAINED_AGENTS:
+            return self._refuse(
+                command,
+                reasons.ControlRefusal.INVALID_DOCUMENT,
+                f"more than {MAX_DRAINED_AGENTS} agents would be draining",
+            )
+        if marked != set(self.state.drained):
+            self.state.drained = tuple(sorted(marked))
+            self.state.record_revision += 1
+        return self._accept(command)
+
+    def _forget(self, command: commands.ForgetNode) -> commands.Outcome:
+        if command.node not in self.state.nodes:
+            return self._refuse(
+                command,
+                reasons.ControlRefusal.UNKNOWN_NODE,
+                f"no node {command.node!r} is known",
+            )
+        self.state.nodes.discard(command.node)
+        self.state.forgotten[command.node] = self.state.version
+        return self._accept(command)
+
+    def _accept(self, command: commands.OperatorCommand) -> commands.Outcome:
+        return self._conclude(command, commands.OutcomeKind.ACCEPTED)
+
+    def _refuse(
+        self,
+        command: commands.OperatorCommand,
+        reason: reasons.ControlRefusal,
+        detail: str,
+    ) -> commands.Outcome:
+        return self._conclude(
+            command, commands.OutcomeKind.REFUSED, reason, detail
+        )
+
+    def _conclude(
+        self,
+        command: commands.OperatorCommand,
+        kind: commands.OutcomeKind,
+        reason: str = "",
+        detail: str = "",
+    ) -> commands.Outcome:
+        return commands.Outcome(
+            request_id=command.request_id,
+            kind=kind,
+            version=self.state.version,
+            action=type(command).__name__.lower(),
+            author=command.author,
+            submitted_ms=command.submitted_ms,
+            reason=reason,
+            detail=detail,
+        )
+
+    # Commands of the leader
+
+    def _register_nodes(self, command: commands.RegisterNodes) -> None:
+        for item in command.seen:
+            # Only a live node confirms a version newer than that at which
+            # it was forgotten.
+            if item.version <= self.state.forgotten.get(item.node, -1):
+                continue
+            self.state.forgotten.pop(item.node, None)
+            self.state.nodes.add(item.node)
+        self.state.nodes.difference_update(command.left)
+
+    def _release(self, command: commands.ReleaseAddresses) -> None:
+        for item in command.released:
+            if self.state.quarantine.get(item.address) == item:
+                del self.state.quarantine[item.address]
+
+    def _set_groups(self, command: commands.SetRecordGroups) -> None:
+        for group in command.groups:
+            known = self.state.groups.get(group.service)
+            if group.epoch == (known.epoch if known else 0) + 1:
+                self.state.groups[group.service] = group
+                self.state.record_revision += 1
+
+    def _build_configuration(self) -> model.Configuration:
+        return model.Configuration(
+            version=self.state.version,
+            services=self.state.services,
+            record_groups=tuple(
+                self.state.groups[service.name]
+                for service in self.state.services
+                if service.name in self.state.groups
+            ),
+            record_revision=self.state.record_revision,
+            drained_agents=self.state.drained,
+        )
+
+
+def _digest(command: commands.OperatorCommand) -> int:
+    # A resend by a restarted client has another time.
+    content = msgspec.structs.replace(command, submitted_ms=0, author="")
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(content))
--- /dev/null
+++ b/src/egretfork/control/voting.py
@@ -0,0 +1,230 @@
+"""Elections with pre-vote, and the check for a disk rolled back.
+
+A disk that was rolled back is detected by write sequences. Each write of a
+member raises a number that is stored with the write and carried by every
+message. Members remember the highest number of each other member, and a
+leader spreads the numbers in its heartbeats. After a start a member takes
+no part until a majority of voters, itself included, has told it the
+highest number seen of it. A number above the one on disk proves that
+writes which others rely on are gone; the member then stops for good and
+has to return under a new identity. A rollback stays undetected only if
+neither the peers that answer nor a leader they have heard from saw the
+later writes.
+"""
+
+import abc
+import datetime
+import enum
+import random
+
+from egretfork.control import entries
+from egretfork.control import events
+from egretfork.control import leading
+from egretfork.control import log
+
+HEARTBEAT = datetime.timedelta(milliseconds=400)
+ELECTION_TIMEOUT_MIN = datetime.timedelta(milliseconds=1200)
+ELECTION_TIMEOUT_MAX = datetime.timedelta(milliseconds=2400)
+
+
+class Role(enum.StrEnum):
+    """Part that a member plays in the current term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class VotingMember(abc.ABC):
+    """Term, vote and elections of one member."""
+
+    def __init__(
+        self,
+        identity: str,
+        vote: entries.Vote,
+        held: log.Log,
+        sequence: int,
+        seed: random.Random,
+        now: datetime.timedelta,
+    ) -> None:
+        self.identity = identity
+        self.vote = vote
+        self.log = held
+        self.sequence = sequence
+        self.commit = held.snapshot.index
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.leading: leading.Leadership | None = None
+        self.seen: dict[str, int] = {}
+        self.verified = self._count_needed_hellos() == 0
+        self._greeted: set[str] = set()
+        self._votes: set[str] = set()
+        self._pre_vote = True
+        self._random = seed
+        self._now = now
+        self._heard_leader = now - ELECTION_TIMEOUT_MIN
+        self._next_heartbeat = now
+        self._election_at = now
+        self._actions: list[events.Action] = []
+        self._delay_election()
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.vote.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether the newest membership gives this member a vote."""
+        return self.identity in entries.list_voters(self.log.members)
+
+    # Time
+
+    def _greet_peers(self) -> None:
+        if self._now < self._next_heartbeat:
+            return
+        self._next_heartbeat = self._now + HEARTBEAT
+        for identity in self._list_others():
+            self._send(identity, entries.Hello(self.sequence))
+
+    def _delay_election(self) -> None:
+        span = (ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN).total_seconds()
+        extra = datetime.timedelta(seconds=self._random.uniform(0, span))
+        self._election_at = self._now + ELECTION_TIMEOUT_MIN + extra
+
+    # Write sequences
+
+    def _note_sequence(self, identity: str, sequence: int) -> None:
+        if identity != self.identity:
+            highest = max(sequence, self.seen.get(identity, 0))
+            self.seen[identity] = highest
+
+    def _on_hello_reply(
+        self, sender: str, message: entries.HelloReply
+    ) -> None:
+        if self._check_rollback(sender, message.sequence):
+            return
+        if sender in entries.list_voters(self.log.members):
+            self._greeted.add(sender)
+        if len(self._greeted) >= self._count_needed_hellos():
+            self.verified = True
+
+    def _count_needed_hellos(self) -> int:
+        voters = entries.list_voters(self.log.members)
+        if not voters:
+            return 0
+        own = self.identity in voters
+        return len(voters) // 2 + 1 - int(own)
+
+    def _check_rollback(self, peer: str, seen_sequence: int) -> bool:
+        if seen_sequence <= self.sequence:
+            return False
+        self.verified = False
+        self._actions.append(
+            events.RollbackDetected(peer, self.sequence, seen_sequence)
+        )
+        return True
+
+    # Elections
+
+    def _start_election(self, *, pre_vote: bool) -> None:
+        self._delay_election()
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self._pre_vote = pre_vote
+        self._votes = {self.identity}
+        term = self.term + 1
+        if not pre_vote:
+            self._save_vote(entries.Vote(term, self.identity))
+        for identity in self._list_others(voters_only=True):
+            self._send(
+                identity,
+                entries.VoteRequest(
+                    term, self.log.last_index, self.log.last_term, pre_vote
+                ),
+            )
+        self._count_votes()
+
+    def _on_vote_request(
+        self, sender: str, message: entries.VoteRequest
+    ) -> None:
+        # A member that hears a leader ignores candidates, so that a member
+        # returning from isolation or removed cannot depose the leader.
+        if self.leading or self._now - self._heard_leader < (
+            ELECTION_TIMEOUT_MIN
+        ):
+            return
+        if message.term > self.term and not message.pre_vote:
+            self._follow_term(message.term)
+        granted = self._may_vote(sender, message)
+        if granted and not message.pre_vote:
+            self._delay_election()
+            if not self.vote.voted_for:
+                self._save_vote(entries.Vote(self.term, sender))
+        term = message.term if granted else self.term
+        self._send(sender, entries.VoteReply(term, granted, message.pre_vote))
+
+    def _may_vote(self, sender: str, message: entries.VoteRequest) -> bool:
+        if message.term < self.term:
+            return False
+        free = message.pre_vote or self.vote.voted_for in ("", sender)
+        candidate = (message.last_term, message.last_index)
+        own = (self.log.last_term, self.log.last_index)
+        return free and candidate >= own
+
+    def _on_vote_reply(self, sender: str, message: entries.VoteReply) -> None:
+        if not message.granted and message.term > self.term:
+            self._follow_term(message.term)
+            return
+        asked = self.term + 1 if self._pre_vote else self.term
+        if (
+            self.role is Role.CANDIDATE
+            and message.granted
+            and message.pre_vote == self._pre_vote
+            and message.term == asked
+        ):
+            self._votes.add(sender)
+            self._count_votes()
+
+    def _count_votes(self) -> None:
+        voters = entries.list_voters(self.log.members)
+        if len(self._votes & voters) <= len(voters) // 2:
+            return
+        if self._pre_vote:
+            self._start_election(pre_vote=False)
+        else:
+            self._become_leader()
+
+    def _become_follower(self, leader: str) -> None:
+        if self.leading is not None:
+            self._actions.append(events.LeadershipLost())
+        self.leading = None
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._delay_election()
+
+    def _follow_term(self, term: int) -> None:
+        if term > self.term:
+            self._save_vote(entries.Vote(term, ""))
+        self._become_follower("")
+
+    def _save_vote(self, vote: entries.Vote) -> None:
+        self.vote = vote
+        self.sequence += 1
+        self._actions.append(events.SaveVote(self.sequence, vote))
+
+    @abc.abstractmethod
+    def _become_leader(self) -> None:
+        """Lead the current term."""
+
+    def _send(self, receiver: str, message: entries.PeerMessage) -> None:
+        self._actions.append(events.Send(receiver, message))
+
+    def _list_others(self, *, voters_only: bool = False) -> list[str]:
+        members = self.log.members
+        chosen = (
+            entries.list_voters(members)
+            if voters_only
+            else entries.list_identities(members)
+        )
+        return sorted(chosen - {self.identity})
--- a/src/egretfork/metrics.py
+++ b/src/egretfork/metrics.py
@@ -9,6 +9,7 @@
     reasons.Refusal: "refusal",
     reasons.Unknown: "unknown",
     reasons.Retry: "retry",
+    reasons.ControlRefusal: "control_refusal",
 }
 
 
--- a/src/egretfork/model.py
+++ b/src/egretfork/model.py
@@ -108,13 +108,16 @@
         services: declared services, in order of name.
         record_groups: record group of each service, raised by control
             without a new file.
-        record_revision: number of the latest change of record groups.
+        record_revision: number of the latest change of record groups or
+            drained agents; never falls, also when the version rises.
+        drained_agents: names of agents that operators drain, in order.
     """
 
     version: int = 0
     services: tuple[Service, ...] = ()
     record_groups: tuple[RecordGroup, ...] = ()
     record_revision: int = 0
+    drained_agents: tuple[str, ...] = ()
 
 
 class TargetState(enum.StrEnum):
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -50,6 +50,23 @@
     DEADLINE = "deadline_while_running"
 
 
+class ControlRefusal(enum.StrEnum):
+    """Why control refused a command of an operator."""
+
+    STALE_BASE = "stale_base"
+    INVALID_DOCUMENT = "invalid_document"
+    ADDRESS_IN_QUARANTINE = "address_in_quarantine"
+    REQUEST_ID_REUSED = "request_id_reused"
+    UNKNOWN_NODE = "unknown_node"
+    UNKNOWN_MEMBER = "unknown_member"
+    MEMBER_EXISTS = "member_exists"
+    MEMBER_NOT_CAUGHT_UP = "member_not_caught_up"
+    MEMBERS_CHANGING = "members_changing"
+    QUORUM_AT_RISK = "quorum_at_risk"
+    STORAGE_FAILED = "storage_failed"
+    SUPERSEDED = "superseded"
+
+
 class Retry(enum.StrEnum):
     """Why an attempt was repeated or moved to another peer."""
 
@@ -61,7 +78,7 @@
     LEADER_CHANGED = "leader_changed"
 
 
-Reason = Drop | Refusal | Unknown | Retry
+Reason = Drop | Refusal | Unknown | Retry | ControlRefusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of control and the operators client."""
--- /dev/null
+++ b/tests/control/processes.py
@@ -0,0 +1,135 @@
+"""Starts control processes and the client on loopback for tests."""
+
+import collections.abc
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import msgspec
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+EXAMPLES = ROOT / "examples"
+
+# Waiting ends with a failure after this many polls of the state.
+MAX_POLLS = 600
+POLL_PAUSE_S = 0.1
+
+
+def poll(condition: collections.abc.Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    for _ in range(MAX_POLLS):
+        if condition():
+            return
+        time.sleep(POLL_PAUSE_S)
+    raise AssertionError("the state waited for did not come")
+
+
+def pick_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Member:
+    """One control process with its settings and data folder."""
+
+    def __init__(self, folder: pathlib.Path, name: str) -> None:
+        self.address = f"127.0.0.1:{pick_port()}"
+        self.data = folder / name
+        self._settings = folder / f"{name}.yaml"
+        self._log = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings.write_text(
+            f"name: {name}\navailability_zone: zone-a\nhost: 127.0.0.1\n"
+            f"port: {self.address.rpartition(':')[2]}\n"
+            f"data_folder: {self.data}\n"
+        )
+
+    def run_command(self, *arguments: str) -> str:
+        """Run a command of the program to its end."""
+        return subprocess.run(
+            [*self._build_command(), *arguments],
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout.strip()
+
+    def _build_command(self) -> list[str]:
+        module = "egretfork.control.program"
+        settings = str(self._settings)
+        return [sys.executable, "-m", module, "--settings", settings]
+
+    def start(self) -> None:
+        """Start the process."""
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._build_command(), stdout=log, stderr=log
+            )
+
+    def stop(self, number: signal.Signals = signal.SIGKILL) -> int:
+        """End the process with a signal and return its exit code."""
+        if self._process is None:
+            return 0
+        self._process.send_signal(number)
+        code = self._process.wait()
+        self._process = None
+        return code
+
+    def read_log(self) -> str:
+        """Return what the process wrote."""
+        return self._log.read_text()
+
+
+class ProcessTest(unittest.TestCase):
+    """Test with a group of three control processes."""
+
+    def setUp(self) -> None:
+        """Start a first group and add two members."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.members = [self.add_member(f"control-{i}") for i in range(3)]
+        first, second, third = self.members
+        first.run_command("init", "--first")
+        second.run_command("init", "--learner")
+        third.run_command("init", "--learner")
+        for member in self.members:
+            member.start()
+        for member in (second, third):
+            result = self.run_client(
+                "members", "add", member.address, "--promote"
+            )
+            self.assertEqual(result.returncode, 0, result.stdout)
+
+    def add_member(self, name: str) -> Member:
+        """Prepare a process that ends with the test."""
+        member = Member(self.folder, name)
+        self.addCleanup(member.stop)
+        return member
+
+    def run_client(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the client against all members."""
+        controls = (("--control", member.address) for member in self.members)
+        return subprocess.run(
+            [
+                *(sys.executable, "-m", "egretfork.client.program", "--json"),
+                *(part for control in controls for part in control),
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+        )
+
+    def read_version(self) -> int:
+        """Return the newest version as the leader knows it."""
+        result = self.run_client("show")
+        if result.returncode:
+            return -1
+        shown = msgspec.json.decode(result.stdout)
+        return int(shown["configuration"]["version"])
