Add the agent's request engine, first version

A small virtual-time harness drives several engines; the tests cover the plain path only.

SealReply gets the field lost_before_ms at its end, with a default, so that the key time below which records were lost outlives a second change of epoch.

--- /dev/null
+++ b/src/egretfork/agent/context.py
@@ -0,0 +1,121 @@
+"""What the parts of the request engine share: identity, timers, output."""
+
+import collections
+import datetime
+import heapq
+import itertools
+import random
+import typing
+
+import xxhash
+
+from egretfork import actions
+from egretfork.agent import events
+from egretfork import model
+from egretfork import reasons
+from egretfork import wire
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+ID_BITS = 62
+
+
+def to_ms(span: datetime.timedelta) -> int:
+    """Return whole milliseconds, rounded down."""
+    return span // MILLISECOND
+
+
+class Timers:
+    """Callbacks ordered by the instant at which they are due.
+
+    A callback is not withdrawn: it checks whether it still applies.
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[
+            tuple[
+                datetime.timedelta,
+                int,
+                typing.Callable[[datetime.timedelta], None],
+            ]
+        ] = []
+        self._order = itertools.count()
+
+    def schedule(
+        self,
+        due: datetime.timedelta,
+        callback: typing.Callable[[datetime.timedelta], None],
+    ) -> None:
+        """Call back with the current instant once ``due`` is reached."""
+        heapq.heappush(self._heap, (due, next(self._order), callback))
+
+    def run_due(self, now: datetime.timedelta) -> None:
+        """Run the callbacks that are due, including ones they schedule."""
+        while self._heap and self._heap[0][0] <= now:
+            _, _, callback = heapq.heappop(self._heap)
+            callback(now)
+
+
+class Context:
+    """Identity of the agent and the output of the event in progress.
+
+    Args:
+        service: name of the service.
+        identity: name and incarnation of the agent.
+        address: UDP address of the agent.
+        rng: source of randomness.
+        wall_clock_zero_ms: Unix milliseconds at instant zero.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        identity: model.AgentIdentity,
+        address: model.Endpoint,
+        rng: random.Random,
+        wall_clock_zero_ms: int,
+    ) -> None:
+        self.service = service
+        self.identity = identity
+        self.address = address
+        self.rng = rng
+        self.timers = Timers()
+        self.outbox: list[events.Action] = []
+        self.loopback: collections.deque[wire.Message] = collections.deque()
+        self._wall_clock_zero_ms = wall_clock_zero_ms
+        # Identifiers of two incarnations must not meet, since messages of
+        # an earlier one may still arrive at the same address.
+        seed = f"{service}/{identity.name}/{identity.incarnation}"
+        self._ids = itertools.count(
+            xxhash.xxh3_64_intdigest(seed.encode()) >> 2
+        )
+
+    def next_id(self) -> int:
+        """Return a number that no other incarnation uses."""
+        return next(self._ids) % (1 << ID_BITS)
+
+    def send(self, peer: model.Endpoint, message: wire.Message) -> None:
+        """Send a message; one to the agent itself needs no network."""
+        if peer == self.address:
+            self.loopback.append(message)
+            return
+        self.outbox.append(actions.SendMessage(peer, message))
+
+    def count(self, reason: reasons.Reason) -> None:
+        """Count one occurrence of a reason."""
+        self.outbox.append(actions.CountReason(reason))
+
+    def log(
+        self, event: str, step: str, peer: str = "", detail: str = ""
+    ) -> None:
+        """Write a structured log line."""
+        self.outbox.append(actions.LogEvent(event, step, peer, detail))
+
+    def read_wall_clock_ms(self, now: datetime.timedelta) -> int:
+        """Return Unix milliseconds at an instant."""
+        return self._wall_clock_zero_ms + to_ms(now)
+
+    def drain_outbox(self) -> list[events.Action]:
+        """Return and forget the actions of the event in progress."""
+        drained = self.outbox
+        self.outbox = []
+        return drained
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -279,7 +279,11 @@
 
 
 class SealReply(Message, frozen=True, tag=18):
-    """One page of a sealed member's records."""
+    """One page of a sealed member's records.
+
+    ``lost_before_ms`` is the key time before which the member knows that
+    records of an earlier epoch were lost.
+    """
 
     service: str
     epoch: int
@@ -287,6 +291,7 @@
     offset: int
     total: int
     records: tuple[RunRecord, ...]
+    lost_before_ms: int = 0
 
 
 class StoredAnswerRequest(Message, frozen=True, tag=19):
--- /dev/null
+++ b/tests/request_support.py
@@ -0,0 +1,171 @@
+"""Fakes for tests of the request engine: network, targets, callers."""
+
+import datetime
+import random
+
+from egretfork.agent import events
+from egretfork.bench import agents
+from egretfork import model
+from egretfork import wire
+
+WALL_CLOCK_ZERO_MS = 1_700_000_000_000
+
+
+def milliseconds(count):
+    """Return a span of time."""
+    return datetime.timedelta(milliseconds=count)
+
+
+def make_key(number, made_ms):
+    """Return a UUID version 7 made at a Unix time."""
+    tail = number.to_bytes(10, "big")
+    tail = bytes([0x70 | tail[0] & 0x0F, tail[1], 0x80]) + tail[3:]
+    return made_ms.to_bytes(6, "big") + tail
+
+
+class Network:
+    """Link with seeded delay, loss and duplication."""
+
+    def __init__(self, seed, loss=0.0, duplicates=0.0, delays=(2, 8)):
+        self._rng = random.Random(seed)
+        self.loss = loss
+        self.duplicates = duplicates
+        self.delays = delays
+        self.cut = set()
+
+    def carry(self, sender, receiver):
+        """Return the delays of the copies that arrive."""
+        if sender in self.cut or receiver in self.cut:
+            return ()
+        if self._rng.random() < self.loss:
+            return ()
+        copies = 2 if self._rng.random() < self.duplicates else 1
+        return [
+            milliseconds(self._rng.uniform(*self.delays))
+            for _ in range(copies)
+        ]
+
+
+class Targets:
+    """Targets that note each run; behaviour is set per agent address."""
+
+    def __init__(self, seed, run_ms=50):
+        self._rng = random.Random(seed)
+        self.run_ms = run_ms
+        self.runs = []
+        self.cancelled = []
+        self.refusing = set()
+        self.failing = set()
+        self.stoppable = True
+
+    def start(self, agent, run):
+        """Run a request and answer with its payload."""
+        if agent in self.refusing:
+            return milliseconds(1), events.RunEnded(
+                run.run_id, wire.WorkResultKind.REFUSED, b""
+            )
+        self.runs.append((agent, run.payload))
+        if agent in self.failing:
+            return milliseconds(5), events.RunEnded(
+                run.run_id, wire.WorkResultKind.UNKNOWN, b"", "target_lost"
+            )
+        spent = milliseconds(self._rng.uniform(0.5, 1.5) * self.run_ms)
+        return spent, events.RunEnded(
+            run.run_id, wire.WorkResultKind.ANSWERED, b"done " + run.payload
+        )
+
+    def cancel(self, agent, run_id):
+        """Stop a run if runs can be stopped."""
+        self.cancelled.append(run_id)
+        return self.stoppable
+
+    def count(self, payload):
+        """Return how often a payload was run."""
+        return sum(1 for _, ran in self.runs if ran == payload)
+
+
+class Fixture:
+    """Agents of one service with callers that note their outcomes."""
+
+    def __init__(self, count=3, seed=0, members=None, slots=2, **network):
+        self.network = Network(seed, **network)
+        self.targets = Targets(seed)
+        self.outcomes = {}
+        self.finished_at = {}
+        self._request_id = 0
+        service = model.Service(
+            name="hatlog",
+            addresses=("192.0.2.1:5683",),
+            targets=("agent-*",),
+            slots=slots,
+        )
+        self.agents = agents.Agents(
+            service,
+            self.network,
+            self.targets,
+            self._note,
+            WALL_CLOCK_ZERO_MS,
+        )
+        self.addresses = [self.agents.start(i) for i in range(count)]
+        self.agents.announce()
+        chosen = self.addresses[:3] if members is None else members
+        if chosen:
+            self.agents.form_group(chosen)
+            self.configure_all()
+
+    @property
+    def now(self):
+        """Return the virtual time."""
+        return self.agents.calendar.now
+
+    def configure_all(self):
+        """Tell every agent of the present record group."""
+        for address in self.addresses:
+            self.agents.configure(address)
+
+    def run(self, span_ms):
+        """Let virtual time pass."""
+        self.agents.calendar.run_until(self.now + milliseconds(span_ms))
+
+    def make_key(self, number):
+        """Return a key made now."""
+        passed = self.now // milliseconds(1)
+        return make_key(number, WALL_CLOCK_ZERO_MS + passed)
+
+    def submit(self, address, payload, key=b"", attempt=0, deadline_ms=5000):
+        """Submit a request at an agent; return its identifier."""
+        self._request_id += 1
+        self.agents.feed(
+            address,
+            events.SubmitRequest(
+                wire.RequestBody(
+                    request_id=self._request_id,
+                    origin=address,
+                    idempotent=not key,
+                    key=key,
+                    attempt=attempt,
+                    deadline_ms=deadline_ms,
+                    payload=payload,
+                )
+            ),
+        )
+        return self._request_id
+
+    def cancel(self, address, request_id):
+        """Cancel a request at its agent."""
+        self.agents.feed(address, events.CancelRequest(request_id))
+
+    def _note(self, _address, finished):
+        self.outcomes.setdefault(finished.request_id, []).append(finished)
+        self.finished_at[finished.request_id] = self.now
+
+    def outcome(self, request_id):
+        """Return the only outcome of a request, as kind and reason."""
+        outcomes = self.outcomes.get(request_id, [])
+        if len(outcomes) != 1:
+            raise AssertionError(f"request has outcomes {outcomes}")
+        return outcomes[0].kind.value, outcomes[0].reason
+
+    def payload(self, request_id):
+        """Return the answer to a request."""
+        return self.outcomes[request_id][0].payload
