Add dissemination of configuration and announcements

GossipService is the interface for the programs.

Checked over loopback sockets with one control process, three entries and one agent: python -m tests tests.test_gossip_shell. Losses, cuts and restarts are not tested yet.

--- /dev/null
+++ b/src/egretfork/gossip/agent.py
@@ -0,0 +1,376 @@
+"""Dissemination decisions of an agent, which subscribes to two entries."""
+
+import dataclasses
+import datetime
+import random
+
+import msgspec
+
+from egretfork import actions
+from egretfork.gossip import budget
+from egretfork.gossip import deltas
+from egretfork.gossip import events
+from egretfork.gossip import exchange
+from egretfork.gossip import messages
+from egretfork.gossip import observers
+from egretfork.gossip import store
+from egretfork.gossip import transfer
+from egretfork import model
+from egretfork import reasons
+from egretfork import wire
+
+SUBSCRIPTIONS = 2
+RETRY_PERIOD = datetime.timedelta(seconds=1)
+RENEWAL_PERIOD = datetime.timedelta(seconds=10)
+MAINTENANCE_PERIOD = datetime.timedelta(seconds=1)
+MAX_ATTEMPTS = 3
+MAX_KNOWN_ENTRIES = 32
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """Subscription to one entry.
+
+    Attributes:
+        entry: the entry.
+        due_at: when the next renewal is sent.
+        attempts: renewals in a row without an answer.
+        seen: order of the own announcement that the entry is known to have.
+    """
+
+    entry: model.Endpoint
+    due_at: datetime.timedelta
+    attempts: int = 0
+    seen: tuple[int, int] = (0, 0)
+
+
+class AgentCore:
+    """State of one agent in dissemination."""
+
+    def __init__(
+        self,
+        identity: model.AgentIdentity,
+        service: str,
+        seeds: tuple[model.Endpoint, ...],
+        generator: random.Random,
+        rate_bytes_per_s: int,
+        burst_bytes: int,
+    ) -> None:
+        self._identity = identity
+        self._service = service
+        self._seeds = seeds
+        self._generator = generator
+        self._outbox = budget.Outbox(rate_bytes_per_s, burst_bytes)
+        self._puller = transfer.Puller(service)
+        self._exchange = exchange.Exchange(generator)
+        self._observers = observers.Observers(identity.name)
+        self._part = deltas.EMPTY
+        self._order = messages.NONE
+        self._checksum = deltas.compute_checksum(deltas.EMPTY)
+        self._own: model.TargetAnnouncement | None = None
+        self._links: list[Link] = []
+        self._entries: list[model.Endpoint] = list(seeds)
+        self._visible: tuple[model.TargetAnnouncement, ...] = ()
+        self._next_maintenance = datetime.timedelta()
+        self._superseded = False
+        self._actions: list[events.Action] = []
+
+    @property
+    def order(self) -> messages.Order:
+        """Return the position of the configuration in force."""
+        return self._order
+
+    @property
+    def configuration(self) -> model.Configuration:
+        """Return the part of the configuration in force."""
+        return self._part
+
+    def handle(
+        self, event: events.Event, now: datetime.timedelta
+    ) -> list[events.Action]:
+        """Decide about one event."""
+        match event:
+            case events.Received():
+                self._outbox.charge(event.size, now)
+                self._receive(event.peer, event.message, now)
+            case events.Announce():
+                self._announce(event.announcement, now)
+            case events.Heard():
+                self._observers.hear(event.agent, now)
+            case events.Tick():
+                self._run_periodic_work(now)
+            case events.Leave():
+                self._leave()
+        self._actions.extend(self._outbox.drain(now))
+        result, self._actions = self._actions, []
+        return result
+
+    def _receive(
+        self,
+        peer: model.Endpoint,
+        message: messages.AnyMessage,
+        now: datetime.timedelta,
+    ) -> None:
+        match message:
+            case messages.Heartbeat():
+                self._observers.hear(message.agent.name, now)
+            case messages.Offer():
+                self._consider(peer, message.order, message.checksum, now)
+            case messages.Piece():
+                self._add_piece(peer, message, now)
+            case messages.SubscribeReply():
+                self._use_reply(peer, message, now)
+            case messages.Records():
+                self._merge(message.batch, now)
+            case messages.PackedRecords():
+                batch = exchange.unpack(message)
+                if isinstance(batch, reasons.Failure):
+                    self._count(reasons.Drop.MALFORMED)
+                    return
+                self._merge(batch, now)
+            case _:
+                self._count(reasons.Drop.UNMATCHED_ANSWER)
+
+    def _send(
+        self,
+        priority: budget.Priority,
+        peer: model.Endpoint,
+        message: wire.Message,
+    ) -> None:
+        if not self._outbox.put(priority, peer, message):
+            self._count(reasons.Drop.TABLE_FULL)
+
+    def _count(self, reason: reasons.Reason) -> None:
+        self._actions.append(actions.CountReason(reason))
+
+    # Configuration.
+
+    def _consider(
+        self,
+        peer: model.Endpoint,
+        order: messages.Order,
+        checksum: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take over a newer version, or begin to pull it if it differs."""
+        if order == self._order:
+            # The entry repeats what it did not see confirmed.
+            self._renew_soon(peer, now)
+            return
+        if not order.follows(self._order):
+            return
+        if checksum == self._checksum and self._order != messages.NONE:
+            part = msgspec.structs.replace(
+                self._part,
+                version=order.version,
+                record_revision=order.record_revision,
+            )
+            self._use(part, now)
+            return
+        request = self._puller.start(peer, self._order, order, now)
+        if request is not None:
+            self._send(budget.Priority.CONFIGURATION, peer, request)
+
+    def _add_piece(
+        self,
+        peer: model.Endpoint,
+        piece: messages.Piece,
+        now: datetime.timedelta,
+    ) -> None:
+        if piece.scope != self._service:
+            self._count(reasons.Drop.WRONG_SERVICE)
+            return
+        if not transfer.is_acceptable(piece, self._order):
+            self._consider(peer, piece.order, piece.checksum, now)
+            return
+        data = self._puller.add(piece, self._order)
+        if data is None:
+            return
+        result = transfer.assemble(data, self._part)
+        if isinstance(result, reasons.Failure):
+            self._puller.abandon()
+            self._count(reasons.Drop.MALFORMED)
+            self._actions.append(transfer.make_rejection_event(peer, result))
+            return
+        self._use(result, now)
+
+    def _use(self, part: model.Configuration, now: datetime.timedelta) -> None:
+        self._part = part
+        self._order = deltas.get_order(part)
+        self._checksum = deltas.compute_checksum(part)
+        self._puller.finish(self._order)
+        self._actions.append(events.UseConfiguration(part))
+        for link in self._links:
+            link.due_at = now
+
+    # Announcements.
+
+    def _announce(
+        self, announcement: model.TargetAnnouncement, now: datetime.timedelta
+    ) -> None:
+        last = self._own.sequence if self._own else -1
+        self._own = msgspec.structs.replace(
+            announcement, sequence=max(announcement.sequence, last + 1)
+        )
+        self._merge(messages.RecordBatch(targets=(self._own,)), now)
+        for link in self._links:
+            link.due_at = now
+
+    def _merge(
+        self, batch: messages.RecordBatch, now: datetime.timedelta
+    ) -> None:
+        self._exchange.merge(batch, now)
+        self._exchange.take_pending()
+        self._refute(now)
+
+    def _refute(self, now: datetime.timedelta) -> None:
+        """Announce the target again if others hold something else."""
+        own = self._own
+        if own is None:
+            return
+        known = self._exchange.records.targets[own.agent].announcement
+        if known.incarnation > own.incarnation:
+            self._report_superseded(known)
+            return
+        newer = store.rank_target(known) > store.rank_target(own)
+        if not newer and not self._exchange.members.is_suspect(own.agent):
+            return
+        sequence = max(known.sequence, own.sequence) + 1
+        self._announce(msgspec.structs.replace(own, sequence=sequence), now)
+
+    def _report_superseded(self, known: model.TargetAnnouncement) -> None:
+        if self._superseded:
+            return
+        self._superseded = True
+        self._actions.append(
+            actions.LogEvent(
+                event="incarnation_superseded",
+                step="announce target",
+                peer=known.agent,
+                detail=f"a later process started at {known.incarnation} ms",
+            )
+        )
+
+    # Entries.
+
+    def _use_reply(
+        self,
+        peer: model.Endpoint,
+        reply: messages.SubscribeReply,
+        now: datetime.timedelta,
+    ) -> None:
+        self._learn_entries(reply.entries)
+        link = self._find_link(peer)
+        if link is None:
+            return
+        link.attempts = 0
+        link.seen = (reply.incarnation, reply.sequence)
+        link.due_at = now + RENEWAL_PERIOD
+        if self._own is not None and link.seen < self._own.order:
+            link.due_at = now + RETRY_PERIOD
+        if reply.order != self._order:
+            self._consider(peer, reply.order, reply.checksum, now)
+        if reply.full and reply.entries:
+            self._replace(link, now)
+
+    def _find_link(self, peer: model.Endpoint) -> Link | None:
+        return next((link for link in self._links if link.entry == peer), None)
+
+    def _renew_soon(
+        self, peer: model.Endpoint, now: datetime.timedelta
+    ) -> None:
+        link = self._find_link(peer)
+        if link is not None:
+            link.due_at = now
+
+    def _learn_entries(self, entries: tuple[model.Endpoint, ...]) -> None:
+        for entry in entries:
+            if entry in self._entries:
+                self._entries.remove(entry)
+            self._entries.append(entry)
+        del self._entries[:-MAX_KNOWN_ENTRIES]
+
+    def _replace(self, link: Link, now: datetime.timedelta) -> None:
+        self._links.remove(link)
+        self._send(
+            budget.Priority.EXCHANGE,
+            link.entry,
+            messages.Unsubscribe(self._identity),
+        )
+        self._subscribe(now, avoided=link.entry)
+
+    def _subscribe(
+        self,
+        now: datetime.timedelta,
+        avoided: model.Endpoint | None = None,
+    ) -> None:
+        used = {link.entry for link in self._links} | {avoided}
+        known = dict.fromkeys([*self._entries, *self._seeds])
+        candidates = [entry for entry in known if entry not in used]
+        if not candidates and avoided is not None and not self._links:
+            candidates = [avoided]
+        if candidates:
+            entry = self._generator.choice(candidates)
+            self._links.append(Link(entry=entry, due_at=now))
+
+    def _renew(self, link: Link, now: datetime.timedelta) -> None:
+        if link.attempts >= MAX_ATTEMPTS:
+            self._replace(link, now)
+            return
+        link.attempts += 1
+        link.due_at = now + RETRY_PERIOD
+        seen = self._own is not None and link.seen >= self._own.order
+        message = messages.Subscribe(
+            service=self._service,
+            agent=self._identity,
+            order=self._order,
+            checksum=self._checksum,
+            records=self._exchange.records.hash_service(self._service),
+            announcement=None if seen else self._own,
+        )
+        self._send(budget.Priority.RECORDS, link.entry, message)
+
+    # Periodic work.
+
+    def _run_periodic_work(self, now: datetime.timedelta) -> None:
+        if len(self._links) < SUBSCRIPTIONS:
+            self._subscribe(now)
+        for link in list(self._links):
+            if now >= link.due_at:
+                self._renew(link, now)
+        due = self._puller.poll(now)
+        if due is not None:
+            self._send(budget.Priority.CONFIGURATION, *due)
+        if now >= self._next_maintenance:
+            self._next_maintenance = now + MAINTENANCE_PERIOD
+            self._maintain(now)
+        changed = self._exchange.members.take_changes()
+        if changed is not None:
+            self._visible = changed
+            self._actions.append(events.UseAnnouncements(changed))
+
+    def _maintain(self, now: datetime.timedelta) -> None:
+        self._exchange.members.expire(now)
+        if self._own is None:
+            return
+        heartbeat = messages.Heartbeat(self._identity)
+        for address in self._observers.list_receivers(self._visible):
+            self._send(budget.Priority.RECORDS, address, heartbeat)
+        silent = self._observers.list_silent(self._visible, now)
+        suspicions = tuple(
+            observers.make_suspicion(item, self._identity.name)
+            for item in silent
+            if not self._exchange.members.is_suspect(item.agent)
+        )
+        if not suspicions:
+            return
+        batch = messages.RecordBatch(suspicions=suspicions)
+        self._merge(batch, now)
+        for link in self._links:
+            for message in exchange.make_messages(batch):
+                self._send(budget.Priority.RECORDS, link.entry, message)
+
+    def _leave(self) -> None:
+        for link in self._links:
+            message = messages.Unsubscribe(self._identity)
+            self._send(budget.Priority.EXCHANGE, link.entry, message)
--- /dev/null
+++ b/src/egretfork/gossip/membership.py
@@ -0,0 +1,239 @@
+"""Targets and nodes: the newest statement wins; suspicion and expiry."""
+
+import collections.abc
+import datetime
+import enum
+import itertools
+
+import msgspec
+
+from egretfork.gossip import messages
+from egretfork.gossip import store
+from egretfork import model
+
+EXPIRY_DELAY = datetime.timedelta(seconds=5)
+EXPIRY_WINDOW = datetime.timedelta(seconds=10)
+SUSPICION_LIFETIME = datetime.timedelta(seconds=10)
+EXPIRED_RETENTION = datetime.timedelta(hours=2)
+# An old announcement may arrive from a region that was cut off for long.
+LEFT_RETENTION = datetime.timedelta(hours=24)
+MAX_LEFT_RECORDS = 8_192
+
+
+class Outcome(enum.Enum):
+    """How a received statement compares with what is known."""
+
+    NEWER = "newer"
+    KNOWN = "known"
+    OLDER = "older"
+
+
+class Membership:
+    """Rules by which a node changes its records."""
+
+    def __init__(self, records: store.Store) -> None:
+        self._store = records
+        self._suspected: set[str] = set()
+        self._accused: set[str] = set()
+        self._left: dict[str, datetime.timedelta] = {}
+        self._visible: dict[str, tuple[model.TargetAnnouncement, ...]] = {}
+        self.changed_services: set[str] = set()
+
+    def merge_target(
+        self, announcement: model.TargetAnnouncement, now: datetime.timedelta
+    ) -> Outcome:
+        """Take over an announcement if it is newer than the known one."""
+        known = self._store.targets.get(announcement.agent)
+        rank = store.rank_target(announcement)
+        if known is not None:
+            known_rank = store.rank_target(known.announcement)
+            if rank <= known_rank:
+                same = rank == known_rank
+                return Outcome.KNOWN if same else Outcome.OLDER
+            self.changed_services.add(known.announcement.service)
+        self._forget_suspicions(announcement.agent)
+        self._left.pop(announcement.agent, None)
+        record = store.TargetRecord(announcement)
+        if announcement.state is model.TargetState.LEFT:
+            record.left_at = now
+            self._left[announcement.agent] = now
+        self._store.set_target(record)
+        self.changed_services.add(announcement.service)
+        return Outcome.NEWER
+
+    def merge_node(self, record: messages.NodeRecord) -> Outcome:
+        """Take over a node's record if it is newer than the known one."""
+        known = self._store.nodes.get(record.name)
+        if known is not None and record.rank <= known.rank:
+            same = record.rank == known.rank
+            return Outcome.KNOWN if same else Outcome.OLDER
+        self._store.set_node(record)
+        return Outcome.NEWER
+
+    def merge_suspicion(
+        self, suspicion: messages.Suspicion, now: datetime.timedelta
+    ) -> Outcome:
+        """Record that an observer suspects a target.
+
+        A suspicion of an earlier announcement is void, because the target
+        refuted it with a newer one.
+        """
+        known = self._store.targets.get(suspicion.agent)
+        if known is None:
+            return Outcome.KNOWN
+        order = (suspicion.incarnation, suspicion.sequence)
+        if order < known.announcement.order:
+            return Outcome.OLDER
+        if order > known.announcement.order or known.left_at is not None:
+            return Outcome.KNOWN
+        if suspicion.observer in known.suspicions:
+            return Outcome.KNOWN
+        if known.suspected_at is not None:
+            return Outcome.KNOWN
+        known.suspicions[suspicion.observer] = now
+        self._accused.add(suspicion.agent)
+        if len(known.suspicions) >= self._count_needed_observers(known):
+            self._mark_suspect(known, now)
+        return Outcome.NEWER
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Remove suspect targets that are due, and old records."""
+        self._drop_single_suspicions(now)
+        due = {
+            self._store.targets[name].announcement.service
+            for name in self._suspected
+        }
+        for service in due:
+            self._expire_service(service, now)
+        self._drop_left(now)
+
+    def list_visible(
+        self, service: str
+    ) -> tuple[model.TargetAnnouncement, ...]:
+        """Return the targets of a service that are in use or suspect."""
+        return tuple(
+            _present(record)
+            for _, record in sorted(self._store.list_service(service).items())
+            if record.left_at is None and record.expired_at is None
+        )
+
+    def take_changes(self) -> tuple[model.TargetAnnouncement, ...] | None:
+        """Return the visible targets of all services if any changed."""
+        if not self.changed_services:
+            return None
+        known = len(self._visible)
+        for service in self.changed_services:
+            self._visible[service] = self.list_visible(service)
+        if len(self._visible) != known:
+            self._visible = dict(sorted(self._visible.items()))
+        self.changed_services.clear()
+        return tuple(itertools.chain.from_iterable(self._visible.values()))
+
+    def is_suspect(self, agent: str) -> bool:
+        """Return whether enough observers suspect a target."""
+        return agent in self._suspected
+
+    def _mark_suspect(
+        self, record: store.TargetRecord, now: datetime.timedelta
+    ) -> None:
+        record.suspected_at = now
+        self._suspected.add(record.announcement.agent)
+        self._accused.discard(record.announcement.agent)
+        self._store.update_target(record)
+        self.changed_services.add(record.announcement.service)
+
+    def _count_needed_observers(self, record: store.TargetRecord) -> int:
+        members = self._list_members(record.announcement.service)
+        return 1 if len(members) <= 2 else 2
+
+    def _list_members(self, service: str) -> list[store.TargetRecord]:
+        return [
+            record
+            for record in self._store.list_service(service).values()
+            if record.left_at is None
+        ]
+
+    def _forget_suspicions(self, name: str) -> None:
+        self._suspected.discard(name)
+        self._accused.discard(name)
+
+    def _drop_single_suspicions(self, now: datetime.timedelta) -> None:
+        for name in list(self._accused):
+            record = self._store.targets[name]
+            record.suspicions = {
+                observer: since
+                for observer, since in record.suspicions.items()
+                if now - since < SUSPICION_LIFETIME
+            }
+            if not record.suspicions:
+                self._accused.discard(name)
+
+    def _expire_service(self, service: str, now: datetime.timedelta) -> None:
+        members = self._list_members(service)
+        room = count_removable(members, now)
+        due = sorted(
+            (record.suspected_at, record.announcement.agent)
+            for record in members
+            if record.suspected_at is not None
+            and record.expired_at is None
+            and now - record.suspected_at >= EXPIRY_DELAY
+        )
+        for _, name in due[:room]:
+            self._store.targets[name].expired_at = now
+            self.changed_services.add(service)
+        self._retire_expired(members, now)
+
+    def _retire_expired(
+        self,
+        members: collections.abc.Sequence[store.TargetRecord],
+        now: datetime.timedelta,
+    ) -> None:
+        # While others are suspect, this part may be the one that is cut
+        # off; then the expired targets still count in the service's size.
+        if any(
+            record.suspected_at is not None and record.expired_at is None
+            for record in members
+        ):
+            return
+        for record in members:
+            if record.expired_at is None:
+                continue
+            if now - record.expired_at >= EXPIRED_RETENTION:
+                self.merge_target(store.mark_left(record.announcement), now)
+
+    def _drop_left(self, now: datetime.timedelta) -> None:
+        # The dictionary is in order of time.
+        while self._left:
+            name, since = next(iter(self._left.items()))
+            recent = now - since < LEFT_RETENTION
+            if recent and len(self._left) <= MAX_LEFT_RECORDS:
+                return
+            del self._left[name]
+            self._store.remove_target(name)
+
+
+def count_removable(
+    members: collections.abc.Sequence[store.TargetRecord],
+    now: datetime.timedelta,
+) -> int:
+    """Return how many targets of a service may be removed now.
+
+    At most a third (rounded down, at least one) is removed in 10 s, and
+    the last half (rounded up) is never removed.
+    """
+    removed = [
+        record.expired_at
+        for record in members
+        if record.expired_at is not None
+    ]
+    recent = sum(1 for since in removed if now - since < EXPIRY_WINDOW)
+    third = max(1, len(members) // 3)
+    return max(0, min(len(members) // 2 - len(removed), third - recent))
+
+
+def _present(record: store.TargetRecord) -> model.TargetAnnouncement:
+    if record.suspected_at is None:
+        return record.announcement
+    return msgspec.structs.replace(
+        record.announcement, state=model.TargetState.SUSPECT
+    )
--- /dev/null
+++ b/src/egretfork/gossip/shell.py
@@ -0,0 +1,221 @@
+"""Dissemination as a service that owns a UDP socket."""
+
+import collections.abc
+import logging
+import random
+
+import mode
+import msgspec
+
+from egretfork import actions
+from egretfork import clock
+from egretfork import datagrams
+from egretfork.gossip import agent
+from egretfork.gossip import core
+from egretfork.gossip import events
+from egretfork.gossip import messages
+from egretfork.gossip import settings
+from egretfork import logs
+from egretfork import metrics
+from egretfork import model
+from egretfork import reasons
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.1
+
+ConfigurationCallback = collections.abc.Callable[[model.Configuration], None]
+AnnouncementsCallback = collections.abc.Callable[
+    [tuple[model.TargetAnnouncement, ...]], None
+]
+
+
+class NodeVersion(msgspec.Struct, frozen=True, array_like=True):
+    """Version that a node, and an entry's agents, surely confirmed."""
+
+    name: str
+    role: messages.Role
+    address: model.Endpoint
+    version: int
+
+
+class GossipService(mode.Service):
+    """Takes part in dissemination for one process.
+
+    Args:
+        name: unique name of the process.
+        availability_zone: where the process is.
+        host: IPv4 address of the process towards other processes.
+        incarnation: wall clock milliseconds at the start of the process.
+        role: what the process does.
+        options: settings of dissemination.
+        time_source: clock of the process.
+        registry: metrics of the process.
+        generator: source of randomness.
+        on_configuration: called with each newer configuration; an agent
+            gets its own service's part.
+        on_announcements: called with all visible targets after a change;
+            an agent gets those of its own service.
+        service: service of an agent; empty for other roles.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        availability_zone: str,
+        host: str,
+        incarnation: int,
+        role: messages.Role,
+        options: settings.GossipSettings,
+        time_source: clock.Clock,
+        registry: metrics.Metrics,
+        generator: random.Random,
+        on_configuration: ConfigurationCallback,
+        on_announcements: AnnouncementsCallback,
+        service: str = "",
+    ) -> None:
+        super().__init__()
+        if (role is messages.Role.AGENT) != bool(service):
+            raise ValueError("an agent, and no other role, has a service")
+        self._name = name
+        self._availability_zone = availability_zone
+        self._incarnation = incarnation
+        self._role = role
+        self._options = options
+        self._clock = time_source
+        self._registry = registry
+        self._generator = generator
+        self._on_configuration = on_configuration
+        self._on_announcements = on_announcements
+        self._service = service
+        self._core: core.NodeCore | agent.AgentCore | None = None
+        self._early: list[events.Event] = []
+        self._socket = datagrams.DatagramService(
+            model.Endpoint(host, options.port), self._receive
+        )
+
+    @property
+    def address(self) -> model.Endpoint:
+        """Return the UDP address; the port is known once started."""
+        return self._socket.address
+
+    async def on_first_start(self) -> None:
+        """Open the socket and build the core.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        await self.add_runtime_dependency(self._socket)
+        self._core = self._make_core()
+        early, self._early = self._early, []
+        for event in early:
+            self._handle(event)
+
+    async def on_stop(self) -> None:
+        """Tell the peers that the process leaves."""
+        self._handle(events.Leave())
+
+    @mode.Service.timer(TICK_SECONDS)
+    async def _tick(self) -> None:
+        self._handle(events.Tick())
+
+    def publish(self, configuration: model.Configuration) -> None:
+        """Spread a configuration that control accepted (control only).
+
+        A configuration that does not follow the newest one is ignored.
+        """
+        self._handle(events.Publish(configuration))
+
+    def announce(self, announcement: model.TargetAnnouncement) -> None:
+        """Spread the state of the agent's own target (agents only).
+
+        The sequence is raised where this is needed to supersede what is
+        known of this incarnation.
+        """
+        self._handle(events.Announce(announcement))
+
+    def note_heard(self, agent_name: str) -> None:
+        """Count another message, such as a load hint, as a heartbeat."""
+        self._handle(events.Heard(agent_name))
+
+    def forget(self, node: str) -> None:
+        """Remove an entry or control process that is gone for good."""
+        self._handle(events.Forget(node))
+
+    def confirmed_versions(self) -> tuple[NodeVersion, ...]:
+        """Return the highest version that each node surely confirmed.
+
+        An entry confirms a version once it and all agents that subscribe
+        to it have it.
+        """
+        if not isinstance(self._core, core.NodeCore):
+            return ()
+        return tuple(
+            NodeVersion(record.name, record.role, record.address, version)
+            for record, version in self._core.list_versions()
+        )
+
+    def _make_core(self) -> core.NodeCore | agent.AgentCore:
+        seeds = tuple(
+            model.parse_endpoint(seed) for seed in self._options.seeds
+        )
+        if self._role is messages.Role.AGENT:
+            return agent.AgentCore(
+                model.AgentIdentity(self._name, self._incarnation),
+                self._service,
+                seeds,
+                self._generator,
+                self._options.rate_bytes_per_s,
+                self._options.burst_bytes,
+            )
+        record = messages.NodeRecord(
+            name=self._name,
+            incarnation=self._incarnation,
+            sequence=0,
+            address=self._socket.address,
+            role=self._role,
+            availability_zone=self._availability_zone,
+        )
+        return core.NodeCore(
+            record,
+            seeds,
+            self._generator,
+            self._options.rate_bytes_per_s,
+            self._options.burst_bytes,
+        )
+
+    def _receive(self, data: bytes, peer: model.Endpoint) -> None:
+        message = messages.decode(data, str(peer))
+        if isinstance(message, reasons.Failure):
+            self._registry.count(reasons.Drop.MALFORMED)
+            return
+        self._handle(events.Received(peer, message, len(data)))
+
+    def _handle(self, event: events.Event) -> None:
+        if self._core is None:
+            self._early.append(event)
+            return
+        for action in self._core.handle(event, self._clock.now()):
+            self._perform(action)
+
+    def _perform(self, action: events.Action) -> None:
+        match action:
+            case actions.SendMessage():
+                data = messages.encode(action.message)
+                self._socket.send(data, action.peer)
+            case events.UseConfiguration():
+                self._on_configuration(action.configuration)
+            case events.UseAnnouncements():
+                self._on_announcements(action.announcements)
+            case actions.CountReason():
+                self._registry.count(action.reason)
+            case actions.LogEvent():
+                logs.write(
+                    LOGGER,
+                    action.event,
+                    step=action.step,
+                    peer=action.peer,
+                    detail=action.detail,
+                    level=logging.WARNING,
+                )
--- /dev/null
+++ b/src/egretfork/gossip/store.py
@@ -0,0 +1,241 @@
+"""Announcements and nodes with checksums by cell for comparison."""
+
+import dataclasses
+import datetime
+
+import msgspec
+import xxhash
+
+from egretfork.gossip import messages
+from egretfork import model
+
+BUCKETS = 16
+CELLS_PER_BUCKET = 16
+CELLS = BUCKETS * CELLS_PER_BUCKET
+HASH_BYTES = 4
+
+_MASK = 0xFFFFFFFF
+
+Rank = tuple[int, int, bool]
+
+
+def rank_target(announcement: model.TargetAnnouncement) -> Rank:
+    """Return the value by which the newer announcement is chosen."""
+    left = announcement.state is model.TargetState.LEFT
+    return (announcement.incarnation, announcement.sequence, left)
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRecord:
+    """What a node knows about one target.
+
+    Attributes:
+        announcement: the newest announcement.
+        suspicions: instant of each observer's suspicion.
+        suspected_at: since when it counts as suspect.
+        expired_at: when it was removed by expiry.
+        left_at: when it was learned that it left.
+    """
+
+    announcement: model.TargetAnnouncement
+    suspicions: dict[str, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
+    suspected_at: datetime.timedelta | None = None
+    expired_at: datetime.timedelta | None = None
+    left_at: datetime.timedelta | None = None
+
+
+def hash_cell(name: str) -> int:
+    """Return the cell that a name belongs to."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % CELLS
+
+
+class Store:
+    """Newest record of each target and node.
+
+    Records of targets and nodes that left are kept against old ones, but
+    not part of the checksums, so that nodes may drop them at different
+    times.
+    """
+
+    def __init__(self) -> None:
+        self.targets: dict[str, TargetRecord] = {}
+        self.nodes: dict[str, messages.NodeRecord] = {}
+        self._services: dict[str, dict[str, TargetRecord]] = {}
+        self._cells = [0] * CELLS
+        self._members: list[set[str]] = [set() for _ in range(CELLS)]
+        self._sums: dict[str, int] = {}
+        self._root: int | None = None
+
+    @property
+    def root(self) -> int:
+        """Return the checksum of all records."""
+        if self._root is None:
+            digest = xxhash.xxh3_64_intdigest(self._hash_bucket_bytes())
+            self._root = digest & _MASK
+        return self._root
+
+    def _hash_bucket_bytes(self) -> bytes:
+        return b"".join(
+            cell.to_bytes(HASH_BYTES, "big") for cell in self._cells
+        )
+
+    def hash_buckets(self) -> bytes:
+        """Return the checksum of each bucket."""
+        content = self._hash_bucket_bytes()
+        size = CELLS_PER_BUCKET * HASH_BYTES
+        return b"".join(
+            xxhash.xxh3_64_digest(content[start : start + size])[:HASH_BYTES]
+            for start in range(0, len(content), size)
+        )
+
+    def hash_cells(self, bucket: int) -> messages.BucketHashes:
+        """Return the checksums of the cells of a bucket."""
+        first = bucket * CELLS_PER_BUCKET
+        cells = self._cells[first : first + CELLS_PER_BUCKET]
+        return messages.BucketHashes(
+            bucket,
+            b"".join(cell.to_bytes(HASH_BYTES, "big") for cell in cells),
+        )
+
+    def find_different_buckets(self, hashes: bytes) -> list[int]:
+        """Return the buckets whose checksum differs from a peer's."""
+        own = self.hash_buckets()
+        return [
+            bucket
+            for bucket in range(BUCKETS)
+            if _cut(own, bucket) != _cut(hashes, bucket)
+        ]
+
+    def find_different_cells(self, hashes: messages.BucketHashes) -> list[int]:
+        """Return the cells of a bucket that differ from a peer's."""
+        if not 0 <= hashes.bucket < BUCKETS:
+            return []
+        own = self.hash_cells(hashes.bucket).cells
+        return [
+            hashes.bucket * CELLS_PER_BUCKET + cell
+            for cell in range(CELLS_PER_BUCKET)
+            if _cut(own, cell) != _cut(hashes.cells, cell)
+        ]
+
+    def list_service(self, service: str) -> dict[str, TargetRecord]:
+        """Return the records of a service by agent."""
+        return self._services.get(service, {})
+
+    def hash_service(self, service: str) -> int:
+        """Return a checksum of the records of a service."""
+        total = 0
+        for name in self.list_service(service):
+            total ^= self._sums.get(_target_key(name), 0)
+        return total
+
+    def get_cell(self, cell: int) -> messages.RecordBatch:
+        """Return all records of a cell."""
+        names = sorted(self._members[cell])
+        targets = [self.targets[name[1:]] for name in names if name[0] == "t"]
+        return messages.RecordBatch(
+            targets=tuple(item.announcement for item in targets),
+            nodes=tuple(
+                self.nodes[name[1:]] for name in names if name[0] == "n"
+            ),
+            suspicions=tuple(
+                suspicion for item in targets for suspicion in accuse(item)
+            ),
+        )
+
+    def set_target(self, record: TargetRecord) -> None:
+        """Insert a record, or replace the one of the same agent."""
+        name = record.announcement.agent
+        old = self.targets.get(name)
+        if old and old.announcement.service != record.announcement.service:
+            self._remove_from_service(old)
+        self.targets[name] = record
+        service = record.announcement.service
+        self._services.setdefault(service, {})[name] = record
+        self.update_target(record)
+
+    def update_target(self, record: TargetRecord) -> None:
+        """Bring the checksum up to date after a change of a record."""
+        announcement = record.announcement
+        content = (
+            ""
+            if announcement.state is model.TargetState.LEFT
+            else f"{announcement.agent}|{announcement.incarnation}"
+            f"|{announcement.sequence}|{record.suspected_at is not None}"
+        )
+        self._set_sum(_target_key(announcement.agent), content)
+
+    def remove_target(self, name: str) -> None:
+        """Remove a record."""
+        record = self.targets.pop(name)
+        self._remove_from_service(record)
+        self._clear(_target_key(name))
+
+    def set_node(self, record: messages.NodeRecord) -> None:
+        """Insert or replace the record of a node."""
+        self.nodes[record.name] = record
+        content = (
+            ""
+            if record.left
+            else f"{record.name}|{record.incarnation}|{record.sequence}"
+        )
+        self._set_sum(_node_key(record.name), content)
+
+    def _remove_from_service(self, record: TargetRecord) -> None:
+        service = record.announcement.service
+        members = self._services[service]
+        del members[record.announcement.agent]
+        if not members:
+            del self._services[service]
+
+    def _set_sum(self, key: str, content: str) -> None:
+        cell = hash_cell(key)
+        new = (
+            xxhash.xxh3_64_intdigest(content.encode()) & _MASK
+            if content
+            else 0
+        )
+        self._cells[cell] ^= self._sums.get(key, 0) ^ new
+        self._sums[key] = new
+        self._root = None
+        self._members[cell].add(key)
+
+    def _clear(self, key: str) -> None:
+        cell = hash_cell(key)
+        self._cells[cell] ^= self._sums.pop(key, 0)
+        self._members[cell].discard(key)
+        self._root = None
+
+
+def accuse(record: TargetRecord) -> tuple[messages.Suspicion, ...]:
+    """Return the suspicions against a target as statements."""
+    announcement = record.announcement
+    return tuple(
+        messages.Suspicion(
+            agent=announcement.agent,
+            incarnation=announcement.incarnation,
+            sequence=announcement.sequence,
+            observer=observer,
+        )
+        for observer in sorted(record.suspicions)
+    )
+
+
+def mark_left(
+    announcement: model.TargetAnnouncement,
+) -> model.TargetAnnouncement:
+    """Return the announcement with state left and the same order."""
+    return msgspec.structs.replace(announcement, state=model.TargetState.LEFT)
+
+
+def _cut(hashes: bytes, index: int) -> bytes:
+    return hashes[index * HASH_BYTES : (index + 1) * HASH_BYTES]
+
+
+def _target_key(name: str) -> str:
+    return f"t{name}"
+
+
+def _node_key(name: str) -> str:
+    return f"n{name}"
--- /dev/null
+++ b/src/egretfork/gossip/subscription.py
@@ -0,0 +1,221 @@
+"""Agents that receive their service's part from an entry."""
+
+import dataclasses
+import datetime
+import random
+
+from egretfork.gossip import deltas
+from egretfork.gossip import exchange
+from egretfork.gossip import messages
+from egretfork.gossip import transfer
+from egretfork import model
+
+SILENCE_LIMIT = datetime.timedelta(seconds=30)
+CONFIRM_RESEND_DELAY = datetime.timedelta(seconds=1)
+# Pushes in a row without a confirmation; afterwards the agent's own
+# renewal shows what it lacks.
+MAX_PUSHES = 3
+ENTRY_SAMPLE = 3
+SPARE_SUBSCRIBERS = 8
+
+
+@dataclasses.dataclass(slots=True)
+class Subscriber:
+    """One agent as the entry knows it.
+
+    Attributes:
+        address: where the agent receives.
+        agent: its name and incarnation.
+        service: its service.
+        order: configuration that it confirmed.
+        heard_at: when it last sent a message.
+        pushed_at: when the newest configuration was last pushed to it.
+        pushes: how often it was pushed.
+    """
+
+    address: model.Endpoint
+    agent: model.AgentIdentity
+    service: str
+    order: messages.Order
+    heard_at: datetime.timedelta
+    pushed_at: datetime.timedelta
+    pushes: int = 0
+
+
+class Subscribers:
+    """The agents that an entry serves."""
+
+    def __init__(
+        self,
+        name: str,
+        history: transfer.History,
+        state: exchange.Exchange,
+        generator: random.Random,
+    ) -> None:
+        self._name = name
+        self._history = history
+        self._exchange = state
+        self._generator = generator
+        self._by_agent: dict[str, Subscriber] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_agent)
+
+    def serve(
+        self,
+        peer: model.Endpoint,
+        message: messages.Subscribe,
+        now: datetime.timedelta,
+    ) -> tuple[messages.SubscribeReply, messages.RecordBatch]:
+        """Record a subscription; return the answer and lacking records."""
+        self._renew(peer, message, now)
+        part = deltas.select_part(self._history.newest, message.service)
+        incarnation, sequence = self._get_known_order(message.agent.name)
+        reply = messages.SubscribeReply(
+            order=self._history.order,
+            checksum=deltas.compute_checksum(part),
+            incarnation=incarnation,
+            sequence=sequence,
+            entries=self._sample_entries(),
+            full=self._is_full(),
+        )
+        records = self._exchange.records
+        if message.records == records.hash_service(message.service):
+            return reply, messages.RecordBatch()
+        return reply, self._exchange.collect_service(message.service)
+
+    def _renew(
+        self,
+        peer: model.Endpoint,
+        message: messages.Subscribe,
+        now: datetime.timedelta,
+    ) -> None:
+        name = message.agent.name
+        known = self._by_agent.get(name)
+        if known and known.agent.incarnation > message.agent.incarnation:
+            return
+        if known and known.agent == message.agent:
+            known.address = peer
+            known.heard_at = now
+            known.order = max(known.order, message.order)
+            return
+        self._by_agent[name] = Subscriber(
+            address=peer,
+            agent=message.agent,
+            service=message.service,
+            order=message.order,
+            heard_at=now,
+            pushed_at=now,
+        )
+
+    def remove(self, agent: model.AgentIdentity) -> None:
+        """Drop the subscription of one life of an agent."""
+        known = self._by_agent.get(agent.name)
+        if known and known.agent == agent:
+            del self._by_agent[agent.name]
+
+    def list_addresses(self, service: str) -> list[model.Endpoint]:
+        """Return the addresses of the agents of a service."""
+        return [
+            subscriber.address
+            for subscriber in self._by_agent.values()
+            if subscriber.service == service
+        ]
+
+    def push_all(
+        self, now: datetime.timedelta
+    ) -> list[tuple[model.Endpoint, messages.Offer | messages.Piece]]:
+        """Return what tells each agent about a new configuration."""
+        for subscriber in self._by_agent.values():
+            subscriber.pushes = 0
+        return self._push(list(self._by_agent.values()), now)
+
+    def push_unconfirmed(
+        self, now: datetime.timedelta
+    ) -> list[tuple[model.Endpoint, messages.Offer | messages.Piece]]:
+        """Repeat the push to agents that did not confirm it."""
+        due = [
+            subscriber
+            for subscriber in self._by_agent.values()
+            if subscriber.order < self._history.order
+            and now - subscriber.pushed_at >= CONFIRM_RESEND_DELAY
+            and subscriber.pushes < MAX_PUSHES
+        ]
+        return self._push(due, now)
+
+    def drop_silent(self, now: datetime.timedelta) -> None:
+        """Drop agents that use other entries or are gone.
+
+        A silent agent that is suspect is kept as unconfirmed until it is
+        removed from the service or heard again.
+        """
+        silent = [
+            subscriber
+            for subscriber in self._by_agent.values()
+            if now - subscriber.heard_at >= SILENCE_LIMIT
+        ]
+        for subscriber in silent:
+            if not self._exchange.members.is_suspect(subscriber.agent.name):
+                del self._by_agent[subscriber.agent.name]
+
+    def all_confirmed(self) -> bool:
+        """Return whether all agents have the entry's version."""
+        version = self._history.order.version
+        return all(
+            subscriber.order.version >= version
+            for subscriber in self._by_agent.values()
+        )
+
+    def _push(
+        self, subscribers: list[Subscriber], now: datetime.timedelta
+    ) -> list[tuple[model.Endpoint, messages.Offer | messages.Piece]]:
+        for subscriber in subscribers:
+            subscriber.pushed_at = now
+            subscriber.pushes += 1
+        return [
+            (subscriber.address, self._make_push(subscriber))
+            for subscriber in subscribers
+        ]
+
+    def _make_push(
+        self, subscriber: Subscriber
+    ) -> messages.Offer | messages.Piece:
+        service = subscriber.service
+        previous = self._history.get(subscriber.order)
+        part = deltas.select_part(self._history.newest, service)
+        checksum = deltas.compute_checksum(part)
+        unchanged = previous is not None and checksum == (
+            deltas.compute_checksum(deltas.select_part(previous, service))
+        )
+        if unchanged or self._history.order == messages.NONE:
+            return messages.Offer(service, self._history.order, checksum)
+        pieces = self._history.make_pieces(
+            service, messages.NONE, self._history.order
+        )
+        if len(pieces) == 1:
+            return pieces[0]
+        return messages.Offer(service, self._history.order, checksum)
+
+    def _get_known_order(self, agent: str) -> tuple[int, int]:
+        record = self._exchange.records.targets.get(agent)
+        return record.announcement.order if record else (0, 0)
+
+    def _sample_entries(self) -> tuple[model.Endpoint, ...]:
+        entries = self._list_entries()
+        size = min(ENTRY_SAMPLE, len(entries))
+        return tuple(self._generator.sample(entries, size))
+
+    def _list_entries(self) -> list[model.Endpoint]:
+        return [
+            record.address
+            for record in self._exchange.records.nodes.values()
+            if record.role is messages.Role.ENTRY
+            and not record.left
+            and record.name != self._name
+        ]
+
+    def _is_full(self) -> bool:
+        targets = len(self._exchange.records.targets)
+        entries = len(self._list_entries()) + 1
+        fair = 2 * targets / entries
+        return len(self._by_agent) > 2 * fair + SPARE_SUBSCRIBERS
