Connect the entry program to dissemination

The entry took its configuration from a source that never delivered one; it now runs the gossip service with role entry.

--- a/src/egretfork/entry/program.py
+++ b/src/egretfork/entry/program.py
@@ -2,6 +2,7 @@
 
 import functools
 import pathlib
+import random
 import sys
 import typing
 
@@ -13,6 +14,9 @@
 from egretfork import clock
 from egretfork.entry import ingress
 from egretfork.entry import shell
+from egretfork.gossip import messages
+from egretfork.gossip import settings as gossip_settings
+from egretfork.gossip import shell as gossip
 from egretfork import metrics
 from egretfork import model
 from egretfork import reasons
@@ -74,10 +78,12 @@
     Attributes:
         port: UDP port on ``host`` to which agents send answers.
         ingress: how callers' datagrams arrive.
+        gossip: dissemination of configurations and announcements.
     """
 
     port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
     ingress: ProxySettings | DirectSettings
+    gossip: gossip_settings.GossipSettings
 
     def __post_init__(self) -> None:
         """Check the address of the process."""
@@ -117,15 +123,26 @@
     return (entry,)
 
 
-class IdleSource(mode.Service):
-    """Source that never delivers a configuration."""
-
-
-def build_idle_source(
-    *callbacks: typing.Any, **named: typing.Any
-) -> IdleSource:
-    """Create a source without connections to other nodes."""
-    return IdleSource()
+def build_source(
+    chosen: EntrySettings,
+    registry: metrics.Metrics,
+    on_configuration: gossip.ConfigurationCallback,
+    on_announcements: gossip.AnnouncementsCallback,
+) -> gossip.GossipService:
+    """Create the dissemination service of an entry."""
+    return gossip.GossipService(
+        name=chosen.name,
+        availability_zone=chosen.availability_zone,
+        host=chosen.host,
+        incarnation=clock.read_wall_clock_ms(),
+        role=messages.Role.ENTRY,
+        options=chosen.gossip,
+        time_source=clock.MonotonicClock(),
+        registry=registry,
+        generator=random.Random(),
+        on_configuration=on_configuration,
+        on_announcements=on_announcements,
+    )
 
 
 @click.command()
@@ -152,7 +169,8 @@
         click.echo(f"{path}: settings are valid")
         return
     registry = metrics.Metrics()
-    services = build_services(chosen, build_idle_source, registry)
+    source = functools.partial(build_source, chosen, registry)
+    services = build_services(chosen, source, registry)
     runtime.run("egretfork-entry", chosen, registry, services)
 
 
