--- a/src/egretfork/gossip/core.py
+++ b/src/egretfork/gossip/core.py
@@ -90,9 +90,6 @@
                 self._receive(event.peer, event.message, now)
             case events.Publish():
                 self._publish(event.configuration, now)
-            case events.Announce():
-                batch = messages.RecordBatch(targets=(event.announcement,))
-                self._exchange.merge(batch, now)
             case events.Forget():
                 self._forget(event.node, now)
             case events.Leave():
@@ -247,11 +244,7 @@
             self._count(reasons.Drop.MALFORMED)
             return
         news, _ = self._exchange.merge(batch, now, pulled=True)
-        lacking = self._exchange.compare_cells(message.cells, batch)
-        for part in exchange.divide(lacking):
-            answer = messages.CellRecords(
-                (), messages.pack_batch(part), last=False
-            )
+        for answer in self._exchange.compare_cells(message.cells, batch):
             self._send(budget.Priority.EXCHANGE, peer, answer)
         if message.last and news:
             self._send_digest(now)
--- a/src/egretfork/gossip/exchange.py
+++ b/src/egretfork/gossip/exchange.py
@@ -124,7 +124,7 @@
 
     def compare_cells(
         self, cells: collections.abc.Iterable[int], batch: messages.RecordBatch
-    ) -> messages.RecordBatch:
+    ) -> list[messages.CellRecords]:
         """Return what the sender of the complete cells does not have."""
         own = join(
             self.records.get_cell(cell)
@@ -136,7 +136,7 @@
         }
         nodes = {item.name: item.rank for item in batch.nodes}
         suspicions = set(batch.suspicions)
-        return messages.RecordBatch(
+        lacking = messages.RecordBatch(
             targets=tuple(
                 item
                 for item in own.targets
@@ -152,6 +152,10 @@
                 item for item in own.suspicions if item not in suspicions
             ),
         )
+        return [
+            messages.CellRecords((), messages.pack_batch(part), last=False)
+            for part in divide(lacking)
+        ]
 
     def _collect(
         self,
--- a/tests/test_gossip_shell.py
+++ b/tests/test_gossip_shell.py
@@ -5,11 +5,11 @@
 import unittest
 
 from egretfork import clock
-from egretfork import metrics
-from egretfork import model
 from egretfork.gossip import messages
 from egretfork.gossip import settings
 from egretfork.gossip import shell
+from egretfork import metrics
+from egretfork import model
 
 WAIT_SECONDS = 20
 
