Add the agent's flows and target exchange, unconnected draft

Draft of flow records, the way along the bucket's list, admission, sessions, moving of flows and the CoAP exchange with the target.

--- a/src/egretfork/actions.py
+++ b/src/egretfork/actions.py
@@ -25,9 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendToTarget:
-    """Send a CoAP datagram to the agent's own target (agent only)."""
+    """Send a CoAP datagram to the agent's own target (agent only).
+
+    Attributes:
+        payload: encoded message.
+        peer: address to send to, ``None`` for the configured target.
+    """
 
     payload: bytes
+    peer: model.Endpoint | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/egretfork/agent/core.py
@@ -0,0 +1,349 @@
+"""Core of the agent: combines flows, requests and the target's side."""
+
+import collections
+import collections.abc
+import datetime
+import fnmatch
+import random
+import typing
+
+from egretfork import actions
+from egretfork.agent import admission
+from egretfork.agent import status as statuses
+from egretfork.agent import direct
+from egretfork.agent import events
+from egretfork.agent import flows
+from egretfork.agent import forwarding
+from egretfork.agent import hints
+from egretfork.agent import lifecycle
+from egretfork.agent import router
+from egretfork.agent import serving
+from egretfork.agent import sessions
+from egretfork.agent import target as target_module
+from egretfork.agent import transfer
+from egretfork import model
+from egretfork import reasons
+from egretfork import wire
+
+Handler = collections.abc.Callable[
+    [typing.Any, datetime.timedelta], collections.abc.Sequence[events.Signal]
+]
+
+REQUEST_MESSAGES = (
+    wire.WorkPull,
+    wire.WorkHandover,
+    wire.WorkAccepted,
+    wire.WorkResult,
+    wire.WorkResultAck,
+    wire.WorkCancel,
+    wire.RecordRequest,
+    wire.RecordReply,
+    wire.RecordReplicate,
+    wire.RecordReplicated,
+    wire.SealRequest,
+    wire.SealReply,
+    wire.StoredAnswerRequest,
+    wire.StoredAnswerReply,
+)
+
+
+class AgentCore:
+    """Decisions of one agent.
+
+    Args:
+        status: identity of the agent.
+        engine: request engine.
+        ranking: order of the service's agents.
+        target: the target's address, ``None`` if it must register first.
+        generator: source of message IDs and tokens.
+    """
+
+    def __init__(
+        self,
+        status: statuses.AgentStatus,
+        engine: direct.RequestEngine,
+        ranking: forwarding.Ranking,
+        target: model.Endpoint | None,
+        generator: random.Random,
+    ) -> None:
+        self._status = status
+        self._engine = engine
+        self._table = flows.FlowTable()
+        self._admission = admission.Admission(
+            status, self._has_room, self._count_flows
+        )
+        self._server = serving.CallerServer(status, self._table)
+        self._sessions = sessions.SessionServer(self._table, self._server)
+        self._lists = forwarding.BucketLists(status, ranking, self._admission)
+        self._forwarder = forwarding.Forwarder(
+            status, self._table, self._server, self._admission, self._lists
+        )
+        self._transfers = transfer.TransferService(
+            status,
+            self._table,
+            self._server,
+            self._sessions,
+            self._admission,
+            self._lists,
+            self._forwarder.hints,
+        )
+        self._router = router.FlowRouter(
+            status,
+            self._table,
+            self._server,
+            self._sessions,
+            self._admission,
+            self._forwarder,
+            self._transfers,
+            generator,
+        )
+        self._target = target_module.TargetSide(status, target, generator)
+        self._lifecycle = lifecycle.Lifecycle(status, target is not None)
+        self._hints = hints.HintSender(status, self._table, self._admission)
+        self._handlers = self._build_handlers()
+
+    def _build_handlers(self) -> dict[type, Handler]:
+        engine = self._engine.handle
+        return {
+            events.Tick: self._tick,
+            events.MessageReceived: self._receive,
+            events.TargetDatagram: self._target.receive,
+            events.ConfigurationChanged: self._configure,
+            events.AnnouncementsChanged: self._set_announcements,
+            events.DrainRequested: self._drain,
+            events.StopRequested: self._stop,
+            events.SubmitRequest: engine,
+            events.CancelRequest: engine,
+            events.RunEnded: engine,
+            events.TargetReport: self._take_report,
+            events.RequestFinished: self._finish,
+            events.StartRun: self._target.start_run,
+            events.CancelRun: self._target.cancel_run,
+            events.StartObservation: self._target.start_observation,
+            events.StopObservation: self._target.stop_observation,
+            events.ObservationUpdate: self._update_session,
+            events.RegistrationChanged: self._change_registration,
+        }
+
+    def handle(
+        self, event: events.Event, now: datetime.timedelta
+    ) -> list[events.Action]:
+        """Take one event and return the actions for the shell."""
+        waiting: collections.deque[events.Signal] = collections.deque((event,))
+        result: list[events.Action] = []
+        while waiting:
+            signal = waiting.popleft()
+            handler = self._handlers.get(type(signal))
+            if handler is None:
+                result.append(typing.cast(events.Action, signal))
+            else:
+                waiting.extend(handler(signal, now))
+        return result
+
+    @property
+    def flow_count(self) -> int:
+        """Return the number of owned flows."""
+        return len(self._table)
+
+    @property
+    def session_count(self) -> int:
+        """Return the number of open sessions."""
+        return self._table.session_count
+
+    @property
+    def table_bytes(self) -> int:
+        """Return the estimated size of the flow records."""
+        return self._table.size_bytes
+
+    @property
+    def target_endpoint(self) -> model.Endpoint | None:
+        """Return the target's address, ``None`` while it is unknown."""
+        return self._target.registration.target
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is left that a stop would interrupt."""
+        busy = (
+            len(self._table)
+            + self._server.pending_count
+            + self._transfers.open_count
+            + self._target.run_count
+            + self._engine.waiting
+        )
+        return busy == 0
+
+    @property
+    def has_work(self) -> bool:
+        """Tell whether requests are in progress."""
+        return bool(
+            self._server.pending_count
+            + self._target.run_count
+            + self._engine.waiting
+        )
+
+    def _has_room(self) -> bool:
+        service = self._status.service
+        incoming = self._transfers.incoming_count
+        limit = (service.connections if service is not None else 0) - incoming
+        return self._table.has_room(limit)
+
+    def _count_flows(self) -> int:
+        return len(self._table)
+
+    def _receive(
+        self, event: events.MessageReceived, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        message = event.message
+        if isinstance(message, wire.Forwarded):
+            return self._router.receive(message, now)
+        if isinstance(message, wire.OwnerHint):
+            return self._transfers.take_owner_hint(event.peer, message, now)
+        if isinstance(message, wire.FlowTransfer):
+            return self._transfers.receive(message, now)
+        if isinstance(message, wire.FlowTransferAck):
+            return self._transfers.acknowledge(message, now)
+        if isinstance(message, wire.LoadHint):
+            return self._take_hint(event, message, now)
+        if isinstance(message, REQUEST_MESSAGES):
+            return self._engine.handle(event, now)
+        return [actions.CountReason(reasons.Drop.MALFORMED)]
+
+    def _take_hint(
+        self,
+        event: events.MessageReceived,
+        hint: wire.LoadHint,
+        now: datetime.timedelta,
+    ) -> collections.abc.Sequence[events.Signal]:
+        if hint.service != self._status.service_name:
+            return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
+        self._admission.hear(hint)
+        return self._engine.handle(event, now)
+
+    def _configure(
+        self, event: events.ConfigurationChanged, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        configuration = event.configuration
+        if configuration.version < self._status.version:
+            return []
+        status = self._status
+        status.version = configuration.version
+        status.service = next(
+            (
+                service
+                for service in configuration.services
+                if service.name == status.service_name
+            ),
+            None,
+        )
+        status.permitted = is_permitted(status)
+        self._lists.invalidate()
+        return [
+            *self._engine.handle(event, now),
+            *self._lifecycle.update(now),
+            *self._transfers.review(now),
+        ]
+
+    def _set_announcements(
+        self, event: events.AnnouncementsChanged, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        own = tuple(
+            item
+            for item in event.announcements
+            if item.service == self._status.service_name
+        )
+        self._admission.set_announcements(own, now)
+        self._lists.invalidate()
+        return [
+            *self._engine.handle(event, now),
+            *self._transfers.review(now),
+        ]
+
+    def _drain(
+        self, event: events.DrainRequested, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        self._lifecycle.order_drain()
+        return self._apply_lifecycle(now)
+
+    def _stop(
+        self, event: events.StopRequested, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        self._status.stopping = True
+        return self._apply_lifecycle(now)
+
+    def _apply_lifecycle(
+        self, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        announced = self._lifecycle.update(now)
+        if self._lifecycle.has_been_ready:
+            self._admission.start_ramp(now)
+        if not announced:
+            return []
+        return [*announced, *self._transfers.review(now)]
+
+    def _take_report(
+        self, event: events.TargetReport, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        self._lifecycle.note_report(event)
+        return [
+            *self._engine.handle(event, now),
+            *self._apply_lifecycle(now),
+        ]
+
+    def _change_registration(
+        self, event: events.RegistrationChanged, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        self._lifecycle.note_registration(event)
+        result = self._apply_lifecycle(now)
+        if not event.restarted:
+            return result
+        return [*result, *self._target.restart_observations(now)]
+
+    def _finish(
+        self, event: events.RequestFinished, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        return [
+            *self._server.finish(event, now),
+            *self._transfers.forward_answers(now),
+        ]
+
+    def _update_session(
+        self, event: events.ObservationUpdate, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        if self._transfers.is_opening(event.observation_id):
+            return self._transfers.note_opened(event, now)
+        return self._sessions.update(event, now)
+
+    def _tick(
+        self, event: events.Tick, now: datetime.timedelta
+    ) -> collections.abc.Sequence[events.Signal]:
+        self._admission.update(now)
+        self._forwarder.hints.drop_expired(now)
+        hint = self._hints.advance(
+            now,
+            self._lifecycle.state,
+            self._engine.free_slots,
+            self._engine.waiting,
+        )
+        return [
+            *self._router.expire(now),
+            *self._server.advance(now),
+            *self._sessions.advance(now),
+            *self._target.advance(now),
+            *self._engine.handle(event, now),
+            *self._transfers.advance(now),
+            *hint,
+        ]
+
+
+def is_permitted(status: statuses.AgentStatus) -> bool:
+    """Tell whether the declaration allows this target to serve."""
+    service = status.service
+    if service is None:
+        return status.version == 0
+    zones = service.availability_zones
+    if zones and status.availability_zone not in zones:
+        return False
+    return any(
+        fnmatch.fnmatchcase(status.identity.name, pattern)
+        for pattern in service.targets
+    )
--- /dev/null
+++ b/src/egretfork/agent/delivery.py
@@ -0,0 +1,103 @@
+"""Retransmission of confirmable messages (RFC 7252, section 4.2)."""
+
+import dataclasses
+import datetime
+import heapq
+import itertools
+import typing
+
+KeyType = typing.TypeVar("KeyType", bound=typing.Hashable)
+
+MAX_RETRANSMITS = 4
+BACKOFF_FACTOR = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Transmission:
+    """One confirmable message that is not acknowledged yet.
+
+    Attributes:
+        payload: encoded message.
+        due: instant of the next retransmission.
+        interval: time between the last transmission and the next.
+        sent: transmissions so far.
+    """
+
+    payload: bytes
+    due: datetime.timedelta
+    interval: datetime.timedelta
+    sent: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DueTransmission(typing.Generic[KeyType]):
+    """A message whose acknowledgement did not arrive in time.
+
+    Attributes:
+        key: as given to ``start``.
+        payload: encoded message.
+        sent: transmissions before this one.
+        expired: no retransmission is left; the entry is removed.
+    """
+
+    key: KeyType
+    payload: bytes
+    sent: int
+    expired: bool
+
+
+class Deliveries(typing.Generic[KeyType]):
+    """Messages that wait for an acknowledgement."""
+
+    def __init__(self, timeout: datetime.timedelta) -> None:
+        self._timeout = timeout
+        self._waiting: dict[KeyType, Transmission] = {}
+        self._schedule: list[tuple[datetime.timedelta, int, KeyType]] = []
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, key: KeyType) -> bool:
+        return key in self._waiting
+
+    def start(
+        self, key: KeyType, payload: bytes, now: datetime.timedelta
+    ) -> None:
+        """Register a message that has just been sent."""
+        due = now + self._timeout
+        self._waiting[key] = Transmission(payload, due, self._timeout)
+        self._push(due, key)
+
+    def settle(self, key: KeyType) -> bool:
+        """Forget a message; tell whether it was waiting."""
+        return self._waiting.pop(key, None) is not None
+
+    def take_due(
+        self, now: datetime.timedelta
+    ) -> list[DueTransmission[KeyType]]:
+        """Return the messages to send again or to give up."""
+        due = []
+        while self._schedule and self._schedule[0][0] <= now:
+            instant, _, key = heapq.heappop(self._schedule)
+            entry = self._waiting.get(key)
+            if entry is not None and entry.due == instant:
+                due.append(self._advance(key, entry, now))
+        return due
+
+    def _advance(
+        self, key: KeyType, entry: Transmission, now: datetime.timedelta
+    ) -> DueTransmission[KeyType]:
+        expired = entry.sent > MAX_RETRANSMITS
+        result = DueTransmission(key, entry.payload, entry.sent, expired)
+        if expired:
+            del self._waiting[key]
+            return result
+        entry.sent += 1
+        entry.interval *= BACKOFF_FACTOR
+        entry.due = now + entry.interval
+        self._push(entry.due, key)
+        return result
+
+    def _push(self, due: datetime.timedelta, key: KeyType) -> None:
+        heapq.heappush(self._schedule, (due, next(self._numbers), key))
--- a/src/egretfork/agent/events.py
+++ b/src/egretfork/agent/events.py
@@ -48,6 +48,11 @@
     """The target is to leave: no new work, flows move to others."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The agent is to exit: drain, and finish what is in progress."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitRequest:
     """From flows to requests: a caller's request, seen for the first time.
@@ -146,6 +151,55 @@
     weight: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartObservation:
+    """From sessions to the target exchange: observe (RFC 7641).
+
+    ``observation_id`` is unique within this agent's incarnation;
+    ``payload`` is the caller's registration.
+    """
+
+    observation_id: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopObservation:
+    """From sessions to the target exchange: end an observation."""
+
+    observation_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObservationUpdate:
+    """From the target exchange to sessions: a notification or an end.
+
+    Attributes:
+        observation_id: as started.
+        payload: the target's CoAP response, empty if there is none.
+        ended: the target does not observe, or no longer does.
+        reason: value of ``reasons.Unknown`` if there is no response.
+    """
+
+    observation_id: int
+    payload: bytes
+    ended: bool
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegistrationChanged:
+    """From the target's registration: it registered or withdrew.
+
+    Attributes:
+        registered: the target wants to serve.
+        restarted: the target may have lost its observations.
+    """
+
+    registered: bool
+    restarted: bool
+
+
 Event = (
     Tick
     | MessageReceived
@@ -153,11 +207,14 @@
     | ConfigurationChanged
     | AnnouncementsChanged
     | DrainRequested
+    | StopRequested
     | SubmitRequest
     | CancelRequest
     | RunEnded
     | TargetReport
     | RequestFinished
+    | ObservationUpdate
+    | RegistrationChanged
 )
 
 Action = (
@@ -170,5 +227,10 @@
     | RequestFinished
     | StartRun
     | CancelRun
+    | StartObservation
+    | StopObservation
     | Announce
 )
+
+# What the parts of the agent pass to each other.
+Signal = Event | Action
--- /dev/null
+++ b/src/egretfork/agent/flowrecords.py
@@ -0,0 +1,95 @@
+"""Conversion between flows and the records that move them."""
+
+import datetime
+
+from egretfork.agent import flows
+from egretfork.agent import sessions
+from egretfork import model
+from egretfork import wire
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def build_record(flow: flows.Flow, now: datetime.timedelta) -> wire.FlowRecord:
+    """Build the record that another agent continues the flow from."""
+    return wire.FlowRecord(
+        flow=flow.key,
+        bucket=flow.bucket,
+        admitted_incarnation=flow.stamp.incarnation,
+        admitted_agent=flow.stamp.agent,
+        sessions=tuple(
+            wire.SessionRecord(item.token, item.request, item.sequence)
+            for item in (flow.sessions or {}).values()
+        ),
+        exchanges=tuple(
+            wire.ExchangeRecord(
+                message_id, item.answer, (now - item.since) // MILLISECOND
+            )
+            for message_id, item in (flow.exchanges or {}).items()
+        ),
+        entries=flow.entries,
+        next_message_id=flow.next_message_id,
+    )
+
+
+def read_record(
+    record: wire.FlowRecord, sender: model.Endpoint, now: datetime.timedelta
+) -> flows.Flow:
+    """Build a flow without sessions from the record of its old owner."""
+    step = sessions.MOVE_MESSAGE_ID_STEP
+    next_message_id = (record.next_message_id + step) % flows.MESSAGE_ID_COUNT
+    flow = flows.Flow(
+        key=record.flow,
+        bucket=record.bucket,
+        stamp=flows.Stamp(record.admitted_incarnation, record.admitted_agent),
+        next_message_id=next_message_id,
+        last_used=now,
+        entries=record.entries[: flows.MAX_ENTRIES_PER_FLOW],
+        relay=sender,
+    )
+    merge_exchanges(flow, record, sender, now)
+    return flow
+
+
+def merge_exchanges(
+    flow: flows.Flow,
+    record: wire.FlowRecord,
+    sender: model.Endpoint,
+    now: datetime.timedelta,
+) -> None:
+    """Add the exchanges of a record to a flow.
+
+    A request without an answer is still in progress at the sender, which
+    gets the duplicates of it.
+    """
+    exchanges = dict(flow.exchanges or {})
+    for item in record.exchanges[-flows.MAX_EXCHANGES_PER_FLOW :]:
+        known = exchanges.get(item.message_id)
+        if known is not None and (known.answer or known.relay is None):
+            continue
+        since = now - max(item.age_ms, 0) * MILLISECOND
+        relay = None if item.answer else sender
+        exchanges[item.message_id] = flows.Exchange(item.answer, since, relay)
+    ordered = sorted(exchanges.items(), key=lambda item: item[1].since)
+    flow.exchanges = dict(ordered) or None
+    flow.exchange_bytes = sum(len(item.answer) for _, item in ordered)
+    flows.drop_old_exchanges(flow, now)
+
+
+def build_late_answer(
+    key: wire.FlowKey, message_id: int, answer: bytes
+) -> wire.FlowRecord:
+    """Build the record that carries one answer to the new owner.
+
+    It names no admission and therefore never creates a flow.
+    """
+    return wire.FlowRecord(
+        flow=key,
+        bucket=0,
+        admitted_incarnation=0,
+        admitted_agent="",
+        sessions=(),
+        exchanges=(wire.ExchangeRecord(message_id, answer, 0),),
+        entries=(),
+        next_message_id=0,
+    )
--- /dev/null
+++ b/src/egretfork/agent/flows.py
@@ -0,0 +1,329 @@
+"""Flow records of one agent, bounded in number, bytes and idle time."""
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+
+import msgspec
+
+from egretfork import model
+from egretfork import wire
+
+IDLE_TIMEOUT = datetime.timedelta(minutes=30)
+# RFC 7252 section 4.8.2: a message ID may come again after this time.
+EXCHANGE_LIFETIME = datetime.timedelta(seconds=247)
+MAX_EXCHANGES_PER_FLOW = 64
+MAX_EXCHANGE_BYTES_PER_FLOW = 16_384
+MAX_SESSIONS_PER_FLOW = 16
+MAX_ENTRIES_PER_FLOW = 3
+MAX_TABLE_BYTES = 64 * 1024 * 1024
+# Estimate of a record without its exchanges and sessions.
+FLOW_BASE_BYTES = 600
+EXCHANGE_BASE_BYTES = 120
+SESSION_BASE_BYTES = 240
+MESSAGE_ID_COUNT = 65_536
+
+
+class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Admission of a flow; of two owners the smaller one keeps it."""
+
+    incarnation: int
+    agent: str
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request message of a caller and its answer.
+
+    Attributes:
+        answer: the encoded answer, empty while there is none.
+        since: instant of arrival.
+        relay: agent that has the request in progress after a move.
+    """
+
+    answer: bytes
+    since: datetime.timedelta
+    relay: model.Endpoint | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """One observation (RFC 7641) that a caller holds.
+
+    Attributes:
+        token: the caller's token.
+        request: the caller's registration as received.
+        sequence: value of the last Observe option sent.
+        observation_id: number of the observation on the own target.
+        message_id: last notification that is not acknowledged, or -1.
+    """
+
+    token: bytes
+    request: bytes
+    sequence: int
+    observation_id: int
+    message_id: int = -1
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """Record of one flow.
+
+    Attributes:
+        key: caller address and service address.
+        bucket: hash bucket, which selects the list of agents.
+        stamp: admission.
+        next_message_id: next message ID towards the caller.
+        last_used: instant of the last datagram from the caller.
+        entries: entries that delivered datagrams, latest first.
+        sessions: observations by token.
+        exchanges: request messages by message ID, oldest first.
+        exchange_bytes: bytes of the stored answers.
+        revision: raised at each change that a move must carry.
+        relay: agent that owned the flow before, while it may still have
+            requests in progress.
+    """
+
+    key: wire.FlowKey
+    bucket: int
+    stamp: Stamp
+    next_message_id: int
+    last_used: datetime.timedelta
+    entries: tuple[model.Endpoint, ...] = ()
+    sessions: dict[bytes, Session] | None = None
+    exchanges: dict[int, Exchange] | None = None
+    exchange_bytes: int = 0
+    revision: int = 0
+    relay: model.Endpoint | None = None
+
+    def note_entry(self, entry: model.Endpoint) -> None:
+        """Put the entry that delivered a datagram first."""
+        if self.entries and self.entries[0] == entry:
+            return
+        others = tuple(known for known in self.entries if known != entry)
+        self.entries = (entry, *others)[:MAX_ENTRIES_PER_FLOW]
+
+    def take_message_id(self) -> int:
+        """Return a new message ID towards the caller."""
+        message_id = self.next_message_id
+        self.next_message_id = (message_id + 1) % MESSAGE_ID_COUNT
+        return message_id
+
+    def find_exchange(self, message_id: int) -> Exchange | None:
+        """Return the exchange of a request message, if it is known."""
+        return (self.exchanges or {}).get(message_id)
+
+    def find_session(self, token: bytes) -> Session | None:
+        """Return the observation with a token, if there is one."""
+        return (self.sessions or {}).get(token)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the estimated size of the record."""
+        exchanges = len(self.exchanges or ()) * EXCHANGE_BASE_BYTES
+        sessions = sum(
+            SESSION_BASE_BYTES + len(session.request)
+            for session in (self.sessions or {}).values()
+        )
+        return FLOW_BASE_BYTES + self.exchange_bytes + exchanges + sessions
+
+
+class FlowTable:
+    """Flows that this agent owns, least recently used first."""
+
+    def __init__(self, max_bytes: int = MAX_TABLE_BYTES) -> None:
+        self._flows: collections.OrderedDict[wire.FlowKey, Flow] = (
+            collections.OrderedDict()
+        )
+        self._max_bytes = max_bytes
+        self._bytes = 0
+        self._sessions = 0
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def __iter__(self) -> collections.abc.Iterator[Flow]:
+        return iter(self._flows.values())
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the estimated size of all records."""
+        return self._bytes
+
+    @property
+    def session_count(self) -> int:
+        """Return the number of open sessions."""
+        return self._sessions
+
+    def get(self, key: wire.FlowKey) -> Flow | None:
+        """Return an owned flow."""
+        return self._flows.get(key)
+
+    def has_room(self, limit: int) -> bool:
+        """Tell whether one more flow stays within number and bytes."""
+        return len(self._flows) < limit and self._bytes < self._max_bytes
+
+    def add(self, flow: Flow) -> None:
+        """Own a flow."""
+        self._flows[flow.key] = flow
+        self._bytes += flow.size_bytes
+        self._sessions += len(flow.sessions or ())
+
+    def remove(self, key: wire.FlowKey) -> Flow | None:
+        """Forget a flow."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self._bytes -= flow.size_bytes
+            self._sessions -= len(flow.sessions or ())
+        return flow
+
+    def touch(self, flow: Flow, now: datetime.timedelta) -> None:
+        """Mark a flow as used."""
+        flow.last_used = now
+        self._flows.move_to_end(flow.key)
+
+    def open_exchange(
+        self, flow: Flow, message_id: int, now: datetime.timedelta
+    ) -> None:
+        """Remember a request message for duplicate detection."""
+        before = flow.size_bytes
+        if flow.exchanges is None:
+            flow.exchanges = {}
+        flow.exchanges.pop(message_id, None)
+        flow.exchanges[message_id] = Exchange(b"", now)
+        flow.revision += 1
+        drop_old_exchanges(flow, now)
+        self._bytes += flow.size_bytes - before
+
+    def close_exchange(
+        self,
+        flow: Flow,
+        message_id: int,
+        answer: bytes,
+        now: datetime.timedelta,
+    ) -> None:
+        """Store the answer of a request message."""
+        exchange = flow.find_exchange(message_id)
+        if exchange is None:
+            return
+        before = flow.size_bytes
+        flow.exchange_bytes += len(answer) - len(exchange.answer)
+        exchange.answer = answer
+        exchange.relay = None
+        flow.revision += 1
+        drop_old_exchanges(flow, now)
+        self._bytes += flow.size_bytes - before
+
+    def add_session(self, flow: Flow, session: Session) -> None:
+        """Add an observation to a flow."""
+        before = flow.size_bytes
+        if flow.sessions is None:
+            flow.sessions = {}
+        self._sessions += session.token not in flow.sessions
+        flow.sessions[session.token] = session
+        flow.revision += 1
+        self._bytes += flow.size_bytes - before
+
+    def remove_session(self, flow: Flow, token: bytes) -> Session | None:
+        """Remove an observation from a flow."""
+        if not flow.sessions or token not in flow.sessions:
+            return None
+        before = flow.size_bytes
+        session = flow.sessions.pop(token)
+        self._sessions -= 1
+        flow.revision += 1
+        self._bytes += flow.size_bytes - before
+        return session
+
+    def take_idle(self, now: datetime.timedelta) -> list[Flow]:
+        """Remove and return the flows past the idle time-out."""
+        idle = []
+        while self._flows:
+            flow = next(iter(self._flows.values()))
+            if now - flow.last_used < IDLE_TIMEOUT:
+                break
+            self.remove(flow.key)
+            idle.append(flow)
+        return idle
+
+
+def drop_old_exchanges(flow: Flow, now: datetime.timedelta) -> None:
+    """Keep a flow's exchanges within number, bytes and lifetime.
+
+    An exchange in progress stays: a duplicate of it must not run again.
+    """
+    exchanges = flow.exchanges or {}
+    for message_id in tuple(exchanges):
+        exchange = exchanges[message_id]
+        over = (
+            len(exchanges) > MAX_EXCHANGES_PER_FLOW
+            or flow.exchange_bytes > MAX_EXCHANGE_BYTES_PER_FLOW
+        )
+        expired = now - exchange.since >= EXCHANGE_LIFETIME
+        if not (over or expired):
+            break
+        if exchange.answer or expired:
+            flow.exchange_bytes -= len(exchange.answer)
+            del exchanges[message_id]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hint:
+    """Where a flow is owned.
+
+    Attributes:
+        owner: address of the agent that owns the flow.
+        expires: instant after which the hint is not followed.
+        admit: this agent chose the owner, which may not know the flow yet.
+    """
+
+    owner: model.Endpoint
+    expires: datetime.timedelta
+    admit: bool = False
+
+
+class HintCache:
+    """Owners of flows elsewhere, bounded, oldest dropped first."""
+
+    def __init__(self, limit: int, lifetime: datetime.timedelta) -> None:
+        self._limit = limit
+        self._lifetime = lifetime
+        self._hints: collections.OrderedDict[wire.FlowKey, Hint] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._hints)
+
+    def put(
+        self,
+        key: wire.FlowKey,
+        owner: model.Endpoint,
+        now: datetime.timedelta,
+        admit: bool = False,
+    ) -> None:
+        """Remember the owner of a flow."""
+        self._hints.pop(key, None)
+        self._hints[key] = Hint(owner, now + self._lifetime, admit)
+        while len(self._hints) > self._limit:
+            self._hints.popitem(last=False)
+
+    def get(self, key: wire.FlowKey, now: datetime.timedelta) -> Hint | None:
+        """Return a hint that is still valid."""
+        hint = self._hints.get(key)
+        if hint is not None and hint.expires > now:
+            return hint
+        return None
+
+    def drop(self, key: wire.FlowKey) -> None:
+        """Forget the owner of a flow."""
+        self._hints.pop(key, None)
+
+    def drop_expired(self, now: datetime.timedelta) -> None:
+        """Forget hints past their lifetime."""
+        while self._hints:
+            key = next(iter(self._hints))
+            if self._hints[key].expires > now:
+                break
+            del self._hints[key]
--- /dev/null
+++ b/src/egretfork/agent/program.py
@@ -0,0 +1,121 @@
+"""Command ``egretfork-agent`` and its composition root."""
+
+import datetime
+import pathlib
+import random
+import typing
+
+import click
+
+import mode
+
+import msgspec
+
+import egretfork
+from egretfork.agent import status as statuses
+from egretfork.agent import core
+from egretfork.agent import direct
+from egretfork.agent import forwarding
+from egretfork.agent import shell
+from egretfork import clock as clock_module
+from egretfork import metrics
+from egretfork import model
+from egretfork import reasons
+from egretfork import runtime
+from egretfork import settings as settings_module
+
+
+class AgentSettings(settings_module.Settings, frozen=True, kw_only=True):
+    """Settings of the agent.
+
+    Attributes:
+        service: service of the target.
+        port: UDP port on ``host`` towards entries and other agents.
+        target_port: UDP port on ``host`` towards the target, at which the
+            target registers (RFC 9176).
+        target: ``host:port`` of the target's CoAP server; empty if the
+            target makes it known by registration.
+        weight: relative share of new flows.
+        stop_timeout_s: time in which a planned stop may finish its work.
+    """
+
+    service: settings_module.Name
+    port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    target_port: settings_module.Port = 0
+    target: str = ""
+    weight: typing.Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
+    stop_timeout_s: typing.Annotated[float, msgspec.Meta(ge=0, le=3600)] = 30.0
+
+    def __post_init__(self) -> None:
+        """Check the endpoints.
+
+        Raises:
+            ValueError: names the field and the expected form.
+        """
+        settings_module.check_endpoint(f"{self.host}:{self.port}", "host")
+        if self.target:
+            settings_module.check_endpoint(self.target, "target")
+
+
+def build_status(settings: AgentSettings) -> statuses.AgentStatus:
+    """Build the identity of this life of the agent."""
+    incarnation = clock_module.read_wall_clock_ms()
+    return statuses.AgentStatus(
+        identity=model.AgentIdentity(settings.name, incarnation),
+        address=model.Endpoint(settings.host, settings.port),
+        service_name=settings.service,
+        availability_zone=settings.availability_zone,
+        weight=settings.weight,
+    )
+
+
+def build_services(
+    settings: AgentSettings, registry: metrics.Metrics
+) -> tuple[mode.Service, ...]:
+    """Build the services of the agent, in order of their start."""
+    status = build_status(settings)
+    target = model.parse_endpoint(settings.target) if settings.target else None
+    agent_core = core.AgentCore(
+        status,
+        direct.DirectEngine(settings.service),
+        forwarding.NoRanking(),
+        target,
+        random.Random(status.identity.incarnation),
+    )
+    agent = shell.AgentService(
+        agent_core,
+        status,
+        clock_module.MonotonicClock(),
+        registry,
+        model.Endpoint(settings.host, settings.target_port),
+        datetime.timedelta(seconds=settings.stop_timeout_s),
+    )
+    return (agent,)
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=pathlib.Path, dir_okay=False),
+    required=True,
+    help="YAML settings file.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.version_option(egretfork.__version__)
+def main(path: pathlib.Path, check: bool) -> None:
+    """Serve the flows and requests of one target."""
+    settings = settings_module.load(path, AgentSettings)
+    if isinstance(settings, reasons.Failure):
+        click.echo(str(settings), err=True)
+        raise SystemExit(runtime.EXIT_USAGE)
+    if check:
+        click.echo(f"{path}: settings are valid")
+        return
+    registry = metrics.Metrics()
+    services = build_services(settings, registry)
+    runtime.run("egretfork-agent", settings, registry, services)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/egretfork/agent/router.py
@@ -0,0 +1,226 @@
+"""Receives callers' datagrams and serves those of owned flows."""
+
+import datetime
+import random
+
+import aiocoap
+from aiocoap.numbers import types
+
+from egretfork import actions
+from egretfork.agent import admission
+from egretfork.agent import status as statuses
+from egretfork.agent import events
+from egretfork.agent import flows
+from egretfork.agent import forwarding
+from egretfork.agent import screening
+from egretfork.agent import serving
+from egretfork.agent import sessions
+from egretfork.agent import transfer
+from egretfork import coap
+from egretfork import model
+from egretfork import reasons
+from egretfork import wire
+
+MESSAGE_ID_END = 4
+
+
+class FlowRouter:
+    """Serves a datagram, or finds the agent that does."""
+
+    def __init__(
+        self,
+        status: statuses.AgentStatus,
+        table: flows.FlowTable,
+        server: serving.CallerServer,
+        session_server: sessions.SessionServer,
+        peers: admission.Admission,
+        forwarder: forwarding.Forwarder,
+        transfers: transfer.TransferService,
+        generator: random.Random,
+    ) -> None:
+        self._status = status
+        self._table = table
+        self._server = server
+        self._sessions = session_server
+        self._admission = peers
+        self._forwarder = forwarder
+        self._transfers = transfers
+        self._generator = generator
+
+    def receive(
+        self, forwarded: wire.Forwarded, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        """Take a caller's datagram from an entry or another agent."""
+        if forwarded.service != self._status.service_name:
+            return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
+        if self._status.service is None:
+            return [actions.CountReason(reasons.Drop.NO_CONFIGURATION)]
+        if not forwarded.hops:
+            self._forwarder.note_list(forwarded)
+        flow = self._table.get(forwarded.flow)
+        if flow is not None:
+            return self._serve(flow, forwarded, now)
+        key = read_message_key(forwarded)
+        if key is not None and self._server.holds(key):
+            return self._serve_remaining(key, forwarded)
+        passed = self._forwarder.pass_on(forwarded, now)
+        if isinstance(passed, list):
+            return passed
+        return self._admit(passed, now)
+
+    def _admit(
+        self, forwarded: wire.Forwarded, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        identity = self._status.identity
+        flow = flows.Flow(
+            key=forwarded.flow,
+            bucket=forwarded.bucket,
+            stamp=flows.Stamp(identity.incarnation, identity.name),
+            next_message_id=self._generator.randrange(flows.MESSAGE_ID_COUNT),
+            last_used=now,
+        )
+        self._table.add(flow)
+        self._forwarder.hints.drop(flow.key)
+        self._admission.note_admitted()
+        told = self._transfers.tell_owner(flow, forwarded.agents)
+        return [*told, *self._serve(flow, forwarded, now)]
+
+    def _serve(
+        self,
+        flow: flows.Flow,
+        forwarded: wire.Forwarded,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        peer = str(flow.key.caller)
+        message = coap.decode(forwarded.payload, peer)
+        if isinstance(message, reasons.Failure):
+            return [actions.CountReason(reasons.Drop.MALFORMED)]
+        self._table.touch(flow, now)
+        flow.note_entry(forwarded.entry)
+        kind = coap.classify(message)
+        if kind is coap.Kind.REQUEST:
+            return self._serve_request(flow, forwarded, message, now)
+        if kind is coap.Kind.EMPTY_ACK:
+            return self._serve_acknowledgement(flow, forwarded, message)
+        if kind is coap.Kind.RESET:
+            return self._serve_reset(flow, forwarded, message)
+        if kind is coap.Kind.PING:
+            return forwarding.answer_ping(forwarded, message)
+        return [actions.CountReason(reasons.Drop.UNMATCHED_ANSWER)]
+
+    def _serve_request(
+        self,
+        flow: flows.Flow,
+        forwarded: wire.Forwarded,
+        message: aiocoap.Message,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        exchange = flow.find_exchange(message.mid)
+        if exchange is not None and is_current(exchange, now):
+            if exchange.relay is not None:
+                return self._relay(forwarded, exchange.relay)
+            key = serving.MessageKey(flow.key, message.mid)
+            return self._server.repeat(key, forwarded.entry, exchange.answer)
+        screened = screening.screen(
+            forwarded, message, self._status.service_name
+        )
+        if isinstance(screened, list):
+            return screened
+        return self._serve_screened(flow, forwarded, screened, now)
+
+    def _serve_screened(
+        self,
+        flow: flows.Flow,
+        forwarded: wire.Forwarded,
+        request: screening.ScreenedRequest,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        observe = request.info.observe
+        idempotent = request.info.idempotent
+        if observe == coap.OBSERVE_REGISTER and idempotent:
+            return self._sessions.register(
+                flow, forwarded.payload, request, now
+            )
+        token = request.message.token
+        ended: list[events.Signal] = []
+        if observe == coap.OBSERVE_CANCEL:
+            ended = self._sessions.cancel(flow, token)
+        return [*ended, *self._server.submit(flow, forwarded, request, now)]
+
+    def _serve_acknowledgement(
+        self,
+        flow: flows.Flow,
+        forwarded: wire.Forwarded,
+        message: aiocoap.Message,
+    ) -> list[events.Signal]:
+        key = serving.MessageKey(flow.key, message.mid)
+        if self._sessions.acknowledge(key) or self._server.settle(key):
+            return []
+        return self._relay_unmatched(flow, forwarded)
+
+    def _serve_reset(
+        self,
+        flow: flows.Flow,
+        forwarded: wire.Forwarded,
+        message: aiocoap.Message,
+    ) -> list[events.Signal]:
+        key = serving.MessageKey(flow.key, message.mid)
+        ended = self._sessions.reset(flow, message.mid)
+        if ended is not None:
+            return ended
+        if self._server.settle(key):
+            return []
+        if self._server.holds(key):
+            return self._server.cancel(key)
+        return self._relay_unmatched(flow, forwarded)
+
+    def _serve_remaining(
+        self, key: serving.MessageKey, forwarded: wire.Forwarded
+    ) -> list[events.Signal]:
+        # The flow has moved; this request of it is still in progress here.
+        message = coap.decode(forwarded.payload, str(key.flow.caller))
+        if isinstance(message, reasons.Failure):
+            return [actions.CountReason(reasons.Drop.MALFORMED)]
+        kind = coap.classify(message)
+        if kind is coap.Kind.REQUEST:
+            return self._server.repeat(key, forwarded.entry, b"")
+        if message.mtype in (types.ACK, types.RST):
+            if self._server.settle(key):
+                return []
+        if kind is coap.Kind.RESET:
+            return self._server.cancel(key)
+        return [actions.CountReason(reasons.Drop.UNMATCHED_ANSWER)]
+
+    def _relay_unmatched(
+        self, flow: flows.Flow, forwarded: wire.Forwarded
+    ) -> list[events.Signal]:
+        if flow.relay is None:
+            return [actions.CountReason(reasons.Drop.UNMATCHED_ANSWER)]
+        return self._relay(forwarded, flow.relay)
+
+    def _relay(
+        self, forwarded: wire.Forwarded, agent: model.Endpoint
+    ) -> list[events.Signal]:
+        return self._forwarder.relay(forwarded, agent)
+
+    def expire(self, now: datetime.timedelta) -> list[events.Signal]:
+        """Forget flows past the idle time-out."""
+        result: list[events.Signal] = []
+        for flow in self._table.take_idle(now):
+            result += self._sessions.close(flow)
+        return result
+
+
+def is_current(exchange: flows.Exchange, now: datetime.timedelta) -> bool:
+    """Tell whether a message ID still names the same message."""
+    return now - exchange.since < flows.EXCHANGE_LIFETIME
+
+
+def read_message_key(
+    forwarded: wire.Forwarded,
+) -> serving.MessageKey | None:
+    """Return the message ID of a datagram without decoding the rest."""
+    if len(forwarded.payload) < coap.HEADER_BYTES:
+        return None
+    message_id = int.from_bytes(forwarded.payload[2:MESSAGE_ID_END], "big")
+    return serving.MessageKey(forwarded.flow, message_id)
--- /dev/null
+++ b/src/egretfork/agent/transfer.py
@@ -0,0 +1,330 @@
+"""Moving of flows to other agents, and two owners of one flow."""
+
+import dataclasses
+import datetime
+import itertools
+
+from egretfork import actions
+from egretfork.agent import admission
+from egretfork.agent import status as statuses
+from egretfork.agent import events
+from egretfork.agent import flowrecords
+from egretfork.agent import flows
+from egretfork.agent import forwarding
+from egretfork.agent import incoming
+from egretfork.agent import serving
+from egretfork.agent import sessions
+from egretfork import model
+from egretfork import reasons
+from egretfork import wire
+
+# A batch fits one packet of a usual network, unless one flow is larger.
+BATCH_BYTES = 1200
+MAX_OPEN_BATCHES = 64
+RESEND_INTERVAL = datetime.timedelta(milliseconds=250)
+# A successor that has not acknowledged in this time is given up for another.
+BATCH_TIMEOUT = datetime.timedelta(seconds=3)
+REVIEW_INTERVAL = datetime.timedelta(seconds=1)
+REFUSAL_PAUSE = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """Flows that are being moved to one successor.
+
+    Attributes:
+        transfer_id: number of the batch.
+        successor: agent that is to own the flows.
+        records: record of each flow as sent.
+        revisions: revision of each flow as sent.
+        started: instant of the first transmission.
+        due: instant of the next transmission.
+    """
+
+    transfer_id: int
+    successor: model.Endpoint
+    records: tuple[wire.FlowRecord, ...]
+    revisions: dict[wire.FlowKey, int]
+    started: datetime.timedelta
+    due: datetime.timedelta
+
+
+class TransferService:
+    """Moves flows away from this agent, and takes moved flows in."""
+
+    def __init__(
+        self,
+        status: statuses.AgentStatus,
+        table: flows.FlowTable,
+        server: serving.CallerServer,
+        session_server: sessions.SessionServer,
+        peers: admission.Admission,
+        lists: forwarding.BucketLists,
+        hints: flows.HintCache,
+    ) -> None:
+        self._status = status
+        self._table = table
+        self._server = server
+        self._sessions = session_server
+        self._admission = peers
+        self._lists = lists
+        self._hints = hints
+        self._ids = itertools.count(1)
+        self._batches: dict[int, Batch] = {}
+        self._moving: set[wire.FlowKey] = set()
+        self._queue: dict[wire.FlowKey, model.Endpoint | None] = {}
+        self._refused: dict[model.Endpoint, datetime.timedelta] = {}
+        self._next_review = datetime.timedelta()
+        self._incoming = incoming.IncomingTransfers(
+            table, server, session_server, peers, self._moving
+        )
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of batches that are not acknowledged."""
+        return len(self._batches)
+
+    @property
+    def incoming_count(self) -> int:
+        """Return the number of flows that are being taken in."""
+        return self._incoming.flow_count
+
+    def tell_owner(
+        self, flow: flows.Flow, agents: tuple[model.Endpoint, ...]
+    ) -> list[events.Signal]:
+        """Tell the agents of a list that this agent owns a flow."""
+        hint = self._build_hint(flow)
+        own = self._status.address
+        return [
+            actions.SendMessage(agent, hint)
+            for agent in agents
+            if agent != own
+        ]
+
+    def _build_hint(self, flow: flows.Flow) -> wire.OwnerHint:
+        stamp = flow.stamp
+        own = self._status.address
+        return wire.OwnerHint(flow.key, own, stamp.incarnation, stamp.agent)
+
+    def take_owner_hint(
+        self,
+        peer: model.Endpoint,
+        hint: wire.OwnerHint,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        """Take the statement of another agent that it owns a flow."""
+        if hint.owner == self._status.address:
+            return []
+        flow = self._table.get(hint.flow)
+        if flow is None:
+            self._hints.put(hint.flow, hint.owner, now)
+            return []
+        if not hint.admitted_agent:
+            return []
+        own = self._status.address
+        other = flows.Stamp(hint.admitted_incarnation, hint.admitted_agent)
+        is_other_first = (other, hint.owner) < (flow.stamp, own)
+        if is_other_first or self._status.is_leaving:
+            self._queue[flow.key] = hint.owner
+            return self._start_batches(now)
+        return [actions.SendMessage(hint.owner, self._build_hint(flow))]
+
+    def review(self, now: datetime.timedelta) -> list[events.Signal]:
+        """Queue the flows that this agent must no longer own."""
+        own = self._status.address
+        leaving = self._status.is_leaving
+        lists: dict[int, tuple[model.Endpoint, ...]] = {}
+        for flow in self._table:
+            if flow.bucket not in lists:
+                lists[flow.bucket] = self._lists.get(flow.bucket)
+            agents = lists[flow.bucket]
+            if leaving or (agents and own not in agents):
+                self._queue.setdefault(flow.key, None)
+            elif self._queue.get(flow.key, own) is None:
+                del self._queue[flow.key]
+        return self._start_batches(now)
+
+    def _start_batches(self, now: datetime.timedelta) -> list[events.Signal]:
+        result: list[events.Signal] = []
+        groups: dict[model.Endpoint, list[flows.Flow]] = {}
+        excluded = self._find_excluded(now)
+        for key in tuple(self._queue):
+            if len(self._batches) + len(groups) >= MAX_OPEN_BATCHES:
+                break
+            flow = self._table.get(key)
+            if flow is None or key in self._moving:
+                # A batch under way puts the flow back if it fails.
+                del self._queue[key]
+                continue
+            successor = self._find_successor(flow, excluded)
+            if successor is None:
+                continue
+            del self._queue[key]
+            self._admission.note_placed(successor, now)
+            group = groups.setdefault(successor, [])
+            size = sum(member.size_bytes for member in group)
+            if group and size + flow.size_bytes > BATCH_BYTES:
+                result += self._send_batch(successor, group, now)
+                groups[successor] = group = []
+            group.append(flow)
+        for successor, members in groups.items():
+            result += self._send_batch(successor, members, now)
+        return result
+
+    def _find_excluded(
+        self, now: datetime.timedelta
+    ) -> frozenset[model.Endpoint]:
+        self._refused = {
+            agent: until
+            for agent, until in self._refused.items()
+            if until > now
+        }
+        return frozenset(self._refused)
+
+    def _find_successor(
+        self, flow: flows.Flow, excluded: frozenset[model.Endpoint]
+    ) -> model.Endpoint | None:
+        named = self._queue.get(flow.key)
+        if named is not None and not self._admission.is_gone(named):
+            if named not in excluded:
+                return named
+        agents = self._lists.get(flow.bucket)
+        return self._admission.choose_successor(agents, excluded)
+
+    def _send_batch(
+        self,
+        successor: model.Endpoint,
+        members: list[flows.Flow],
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        records = tuple(
+            flowrecords.build_record(flow, now) for flow in members
+        )
+        revisions = {flow.key: flow.revision for flow in members}
+        batch = self._add_batch(successor, records, revisions, now)
+        self._moving.update(revisions)
+        return [self._transmit(batch)]
+
+    def _add_batch(
+        self,
+        successor: model.Endpoint,
+        records: tuple[wire.FlowRecord, ...],
+        revisions: dict[wire.FlowKey, int],
+        now: datetime.timedelta,
+    ) -> Batch:
+        due = now + RESEND_INTERVAL
+        batch = Batch(next(self._ids), successor, records, revisions, now, due)
+        self._batches[batch.transfer_id] = batch
+        return batch
+
+    def _transmit(self, batch: Batch) -> actions.SendMessage:
+        message = wire.FlowTransfer(
+            self._status.service_name,
+            batch.transfer_id,
+            self._status.address,
+            batch.records,
+        )
+        return actions.SendMessage(batch.successor, message)
+
+    def acknowledge(
+        self, ack: wire.FlowTransferAck, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        """Give up the flows that the successor now owns."""
+        batch = self._batches.pop(ack.transfer_id, None)
+        if batch is None:
+            return []
+        self._moving.difference_update(batch.revisions)
+        accepted = frozenset(ack.accepted)
+        result: list[events.Signal] = []
+        for key, revision in batch.revisions.items():
+            flow = self._table.get(key)
+            if flow is None:
+                continue
+            if key not in accepted:
+                self._queue.setdefault(key, None)
+                self._refused[batch.successor] = now + REFUSAL_PAUSE
+            elif flow.revision != revision:
+                # Something was served meanwhile; the successor needs it.
+                self._queue[key] = batch.successor
+            else:
+                result += self._give_up(flow, batch.successor, now)
+        return [*result, *self._start_batches(now)]
+
+    def _give_up(
+        self,
+        flow: flows.Flow,
+        successor: model.Endpoint,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        self._table.remove(flow.key)
+        self._hints.put(flow.key, successor, now)
+        return self._sessions.close(flow)
+
+    def receive(
+        self, message: wire.FlowTransfer, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        """Take in flows that another agent moves here."""
+        if message.service != self._status.service_name:
+            return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
+        return self._incoming.receive(message, now)
+
+    def is_opening(self, observation_id: int) -> bool:
+        """Tell whether an observation belongs to a flow being taken in."""
+        return self._incoming.is_opening(observation_id)
+
+    def note_opened(
+        self, update: events.ObservationUpdate, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        """Take the target's answer to a moved session."""
+        result = self._incoming.note_opened(update, now)
+        return [*result, *self._settle_incoming(now)]
+
+    def _settle_incoming(self, now: datetime.timedelta) -> list[events.Signal]:
+        result: list[events.Signal] = []
+        for flow in self._incoming.take_owned():
+            self._hints.drop(flow.key)
+            agents = self._lists.get(flow.bucket)
+            result += self.tell_owner(flow, agents)
+        return result
+
+    def forward_answers(self, now: datetime.timedelta) -> list[events.Signal]:
+        """Send answers of requests that outlasted the move of the flow."""
+        result: list[events.Signal] = []
+        for late in self._server.take_late_answers():
+            hint = self._hints.get(late.key.flow, now)
+            if hint is None:
+                continue
+            record = flowrecords.build_late_answer(
+                late.key.flow, late.key.message_id, late.answer
+            )
+            batch = self._add_batch(hint.owner, (record,), {}, now)
+            result.append(self._transmit(batch))
+        return result
+
+    def advance(self, now: datetime.timedelta) -> list[events.Signal]:
+        """Repeat what is not acknowledged; review all flows at times."""
+        result: list[events.Signal] = []
+        for batch in tuple(self._batches.values()):
+            if batch.due <= now:
+                result += self._repeat(batch, now)
+        result += self._incoming.advance(now)
+        result += self._settle_incoming(now)
+        if now >= self._next_review:
+            self._next_review = now + REVIEW_INTERVAL
+            result += self.review(now)
+        return result
+
+    def _repeat(
+        self, batch: Batch, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        gone = self._admission.is_gone(batch.successor)
+        if now - batch.started < BATCH_TIMEOUT and not gone:
+            batch.due = now + RESEND_INTERVAL
+            return [self._transmit(batch)]
+        del self._batches[batch.transfer_id]
+        self._moving.difference_update(batch.revisions)
+        self._refused[batch.successor] = now + REFUSAL_PAUSE
+        for key in batch.revisions:
+            if self._table.get(key) is not None:
+                self._queue.setdefault(key, None)
+        return [actions.CountReason(reasons.Retry.PEER_TIMEOUT)]
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -48,6 +48,7 @@
     KEY_EXPIRED = "key_expired"
     NOT_STARTED = "granted_not_started"
     DEADLINE = "deadline_while_running"
+    CANCELLED = "cancelled_while_running"
 
 
 class Retry(enum.StrEnum):
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -63,10 +63,20 @@
 
 
 class OwnerHint(Message, frozen=True, tag=3):
-    """Tells the sender of a passed-on datagram who owns the flow."""
+    """Tells the agents of a bucket's list who owns a flow.
+
+    Attributes:
+        flow: the flow.
+        owner: agent that owns it.
+        admitted_incarnation: with ``admitted_agent``, the admission; of
+            two owners the one with the smaller admission keeps the flow.
+        admitted_agent: agent that admitted the flow; empty if unknown.
+    """
 
     flow: FlowKey
     owner: model.Endpoint
+    admitted_incarnation: int = 0
+    admitted_agent: str = ""
 
 
 class SessionRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -115,7 +125,12 @@
 
 
 class LoadHint(Message, frozen=True, tag=6):
-    """What an agent tells the other agents of its service about itself."""
+    """What an agent tells the other agents of its service about itself.
+
+    Attributes:
+        admitted: flows admitted since the start of the agent.
+        shedding: the target asks for less work.
+    """
 
     service: str
     agent: model.AgentIdentity
@@ -126,6 +141,8 @@
     waiting: int
     state: model.TargetState
     weight: float = 1.0
+    admitted: int = 0
+    shedding: bool = False
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
