Connect flows, requests and the target in the agent

The agent core owns flow records, passes datagrams along the bucket's list, admits new flows, serves requests through the request engine and sessions through observations on its own target, and moves flows when it leaves or falls out of a list. egretfork-agent starts the core with a gossip service.

The engine's load hints are held back and merged with the flows' part, so that a peer gets at most 10 hints a second in all.

--- a/src/egretfork/agent/admission.py
+++ b/src/egretfork/agent/admission.py
@@ -143,10 +143,7 @@
         # One share of the others' mean rate for each flow they admit.
         others = sum(peer.hint is not None for peer in self._peers.values())
         share = (
-            self._cold_share
-            * MAX_RELATIVE_RATE
-            * self._status.weight
-            / weight
+            self._cold_share * MAX_RELATIVE_RATE * self._status.weight / weight
         )
         self._allowance = min(
             MAX_ALLOWANCE_FLOWS,
--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -9,8 +9,7 @@
 
 from egretfork import actions
 from egretfork.agent import admission
-from egretfork.agent import status as statuses
-from egretfork.agent import direct
+from egretfork.agent import engine as engines
 from egretfork.agent import events
 from egretfork.agent import flows
 from egretfork.agent import forwarding
@@ -19,6 +18,7 @@
 from egretfork.agent import router
 from egretfork.agent import serving
 from egretfork.agent import sessions
+from egretfork.agent import status as statuses
 from egretfork.agent import target as target_module
 from egretfork.agent import transfer
 from egretfork import model
@@ -52,29 +52,34 @@
 
     Args:
         status: identity of the agent.
-        engine: request engine.
-        ranking: order of the service's agents.
         target: the target's address, ``None`` if it must register first.
-        generator: source of message IDs and tokens.
+        generator: source of randomness.
+        wall_clock_zero_ms: Unix milliseconds at instant zero.
     """
 
     def __init__(
         self,
         status: statuses.AgentStatus,
-        engine: direct.RequestEngine,
-        ranking: forwarding.Ranking,
         target: model.Endpoint | None,
         generator: random.Random,
+        wall_clock_zero_ms: int,
     ) -> None:
         self._status = status
-        self._engine = engine
         self._table = flows.FlowTable()
+        self._engine = engines.RequestEngine(
+            status.service_name,
+            status.identity,
+            status.address,
+            generator,
+            wall_clock_zero_ms,
+            self._count_flows,
+        )
         self._admission = admission.Admission(
             status, self._has_room, self._count_flows
         )
         self._server = serving.CallerServer(status, self._table)
         self._sessions = sessions.SessionServer(self._table, self._server)
-        self._lists = forwarding.BucketLists(status, ranking, self._admission)
+        self._lists = forwarding.BucketLists(status, self._admission)
         self._forwarder = forwarding.Forwarder(
             status, self._table, self._server, self._admission, self._lists
         )
@@ -103,7 +108,7 @@
         self._handlers = self._build_handlers()
 
     def _build_handlers(self) -> dict[type, Handler]:
-        engine = self._engine.handle
+        engine = self._ask_engine
         return {
             events.Tick: self._tick,
             events.MessageReceived: self._receive,
@@ -168,18 +173,20 @@
             + self._server.pending_count
             + self._transfers.open_count
             + self._target.run_count
-            + self._engine.waiting
         )
-        return busy == 0
+        return not busy and self._engine.idle
 
-    @property
-    def has_work(self) -> bool:
-        """Tell whether requests are in progress."""
-        return bool(
-            self._server.pending_count
-            + self._target.run_count
-            + self._engine.waiting
-        )
+    def _ask_engine(
+        self, event: events.Event, now: datetime.timedelta
+    ) -> list[events.Signal]:
+        result: list[events.Signal] = []
+        for action in self._engine.handle(event, now):
+            if isinstance(action, actions.SendMessage):
+                if isinstance(action.message, wire.LoadHint):
+                    self._hints.take(action.message)
+                    continue
+            result.append(action)
+        return result
 
     def _has_room(self) -> bool:
         service = self._status.service
@@ -205,7 +212,7 @@
         if isinstance(message, wire.LoadHint):
             return self._take_hint(event, message, now)
         if isinstance(message, REQUEST_MESSAGES):
-            return self._engine.handle(event, now)
+            return self._ask_engine(event, now)
         return [actions.CountReason(reasons.Drop.MALFORMED)]
 
     def _take_hint(
@@ -217,7 +224,7 @@
         if hint.service != self._status.service_name:
             return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
         self._admission.hear(hint)
-        return self._engine.handle(event, now)
+        return self._ask_engine(event, now)
 
     def _configure(
         self, event: events.ConfigurationChanged, now: datetime.timedelta
@@ -236,10 +243,10 @@
             None,
         )
         status.permitted = is_permitted(status)
-        self._lists.invalidate()
+        self._lists.update()
         return [
-            *self._engine.handle(event, now),
-            *self._lifecycle.update(now),
+            *self._ask_engine(event, now),
+            *self._apply_lifecycle(now),
             *self._transfers.review(now),
         ]
 
@@ -252,9 +259,9 @@
             if item.service == self._status.service_name
         )
         self._admission.set_announcements(own, now)
-        self._lists.invalidate()
+        self._lists.update()
         return [
-            *self._engine.handle(event, now),
+            *self._ask_engine(event, now),
             *self._transfers.review(now),
         ]
 
@@ -262,32 +269,35 @@
         self, event: events.DrainRequested, now: datetime.timedelta
     ) -> collections.abc.Sequence[events.Signal]:
         self._lifecycle.order_drain()
-        return self._apply_lifecycle(now)
+        return [*self._ask_engine(event, now), *self._apply_lifecycle(now)]
 
     def _stop(
         self, event: events.StopRequested, now: datetime.timedelta
     ) -> collections.abc.Sequence[events.Signal]:
         self._status.stopping = True
-        return self._apply_lifecycle(now)
+        drain = events.DrainRequested()
+        return [*self._ask_engine(drain, now), *self._apply_lifecycle(now)]
 
-    def _apply_lifecycle(
-        self, now: datetime.timedelta
-    ) -> collections.abc.Sequence[events.Signal]:
+    def _apply_lifecycle(self, now: datetime.timedelta) -> list[events.Signal]:
         announced = self._lifecycle.update(now)
         if self._lifecycle.has_been_ready:
             self._admission.start_ramp(now)
         if not announced:
             return []
-        return [*announced, *self._transfers.review(now)]
+        report = self._lifecycle.report
+        return [
+            *announced,
+            *self._ask_engine(report, now),
+            *self._transfers.review(now),
+        ]
 
     def _take_report(
         self, event: events.TargetReport, now: datetime.timedelta
     ) -> collections.abc.Sequence[events.Signal]:
         self._lifecycle.note_report(event)
-        return [
-            *self._engine.handle(event, now),
-            *self._apply_lifecycle(now),
-        ]
+        changes = self._apply_lifecycle(now)
+        report = self._lifecycle.report
+        return [*changes, *self._ask_engine(report, now)]
 
     def _change_registration(
         self, event: events.RegistrationChanged, now: datetime.timedelta
@@ -318,20 +328,14 @@
     ) -> collections.abc.Sequence[events.Signal]:
         self._admission.update(now)
         self._forwarder.hints.drop_expired(now)
-        hint = self._hints.advance(
-            now,
-            self._lifecycle.state,
-            self._engine.free_slots,
-            self._engine.waiting,
-        )
         return [
             *self._router.expire(now),
             *self._server.advance(now),
             *self._sessions.advance(now),
             *self._target.advance(now),
-            *self._engine.handle(event, now),
+            *self._ask_engine(event, now),
             *self._transfers.advance(now),
-            *hint,
+            *self._hints.advance(now, self._lifecycle.state),
         ]
 
 
--- a/src/egretfork/agent/forwarding.py
+++ b/src/egretfork/agent/forwarding.py
@@ -1,7 +1,6 @@
 """Way of a caller's datagram along the agents of its bucket's list."""
 
 import datetime
-import typing
 
 import aiocoap
 from aiocoap.numbers import types
@@ -10,17 +9,18 @@
 
 from egretfork import actions
 from egretfork.agent import admission
-from egretfork.agent import status as statuses
 from egretfork.agent import events
 from egretfork.agent import flows
 from egretfork.agent import screening
 from egretfork.agent import serving
+from egretfork.agent import status as statuses
 from egretfork import coap
 from egretfork import model
 from egretfork import reasons
+from egretfork.routing import ranking
+from egretfork.routing import table as table_module
 from egretfork import wire
 
-LIST_LENGTH = 4
 HINT_LIFETIME = datetime.timedelta(seconds=60)
 # Hints that name each other must not keep a datagram for ever: beyond the
 # first bound hints are not followed, beyond the last it is dropped.
@@ -30,71 +30,53 @@
 JOIN_WINDOW = datetime.timedelta(seconds=30)
 
 
-class Ranking(typing.Protocol):
-    """Order of a service's agents for each bucket."""
-
-    def list_agents(
-        self,
-        service: model.Service,
-        bucket: int,
-        announcements: tuple[model.TargetAnnouncement, ...],
-    ) -> tuple[model.Endpoint, ...]:
-        """Return the agents of a bucket, best first; empty if unknown."""
-
-
-class NoRanking:
-    """Ranking that knows no lists; those of the entries are used."""
-
-    def list_agents(
-        self,
-        service: model.Service,
-        bucket: int,
-        announcements: tuple[model.TargetAnnouncement, ...],
-    ) -> tuple[model.Endpoint, ...]:
-        """Return no agents."""
-        return ()
-
-
 class BucketLists:
-    """Lists of agents, computed or as the entries last stated them."""
+    """Lists of agents, computed from the announcements as entries do.
+
+    Until the own target is among the announcements, the lists that
+    entries state are used.
+    """
 
     def __init__(
-        self,
-        status: statuses.AgentStatus,
-        ranking: Ranking,
-        peers: admission.Admission,
+        self, status: statuses.AgentStatus, peers: admission.Admission
     ) -> None:
         self._status = status
-        self._ranking = ranking
         self._admission = peers
         self._stated: dict[int, tuple[model.Endpoint, ...]] = {}
-        self._computed: dict[int, tuple[model.Endpoint, ...]] = {}
+        self._current: table_module.ServiceTable | None = None
+        self._earlier: table_module.ServiceTable | None = None
+        self._joined: frozenset[model.Endpoint] = frozenset()
 
-    def invalidate(self) -> None:
+    def update(self) -> None:
         """Compute the lists anew: targets or the declaration changed."""
-        self._computed.clear()
+        service = self._status.service
+        announcements = self._admission.announcements
+        own = self._status.address
+        is_known = any(item.address == own for item in announcements)
+        self._current = None
+        self._earlier = None
+        if service is not None and is_known:
+            targets = table_module.select_targets(service, announcements)
+            self._current = table_module.ServiceTable(service, targets)
 
     def note(self, forwarded: wire.Forwarded) -> None:
         """Remember the list that an entry stated."""
-        self._stated[forwarded.bucket] = forwarded.agents[:LIST_LENGTH]
+        self._stated[forwarded.bucket] = forwarded.agents[
+            : ranking.LIST_LENGTH
+        ]
 
     def get(self, bucket: int) -> tuple[model.Endpoint, ...]:
         """Return the current list of a bucket."""
-        known = self._computed.get(bucket)
-        if known is None:
-            known = self._computed[bucket] = self._compute(bucket)
-        return known or self._stated.get(bucket, ())
+        if self._current is None:
+            return self._stated.get(bucket, ())
+        return self._current.find_agents(bucket)
 
-    def _compute(self, bucket: int) -> tuple[model.Endpoint, ...]:
-        service = self._status.service
-        if service is None:
-            return ()
-        current = tuple(
-            item
-            for item in self._admission.announcements
-            if item.state in admission.ABLE_STATES
-        )
-        return self._ranking.list_agents(service, bucket, current)
+    def has_fallen_out(self, bucket: int) -> bool:
+        """Tell whether this agent is not on the list of a bucket."""
+        if self._current is None:
+            return False
+        agents = self._current.find_agents(bucket)
+        return self._status.address not in agents
 
     def find_earlier(
         self, bucket: int, now: datetime.timedelta
@@ -102,38 +84,39 @@
         """Return the agents of a bucket before the latest changes.
 
         These are the agents that may own a flow which has not been moved
-        yet: those that drain, and the list without those that joined.
+        yet: the list without the agents that joined lately, and with those
+        that drain at their usual places.
         """
-        service = self._status.service
         peers = self._admission.peers
-        joined = {
+        joined = frozenset(
             address
             for address, peer in peers.items()
             if now - peer.first_seen < JOIN_WINDOW
-        }
-        draining = {
-            address
-            for address, peer in peers.items()
-            if peer.announcement.state is model.TargetState.DRAINING
-        }
-        if service is None or not (joined or draining):
+        )
+        is_draining = any(
+            peer.announcement.state is model.TargetState.DRAINING
+            for peer in peers.values()
+        )
+        service = self._status.service
+        if service is None or not (joined or is_draining):
             return ()
-        earlier = tuple(
-            item
-            for item in self._admission.announcements
+        if self._earlier is None or joined != self._joined:
+            self._joined = joined
+            self._earlier = self._build_earlier(service, joined)
+        return self._earlier.find_agents(bucket)
+
+    def _build_earlier(
+        self, service: model.Service, joined: frozenset[model.Endpoint]
+    ) -> table_module.ServiceTable:
+        targets = (
+            msgspec.structs.replace(item, state=model.TargetState.READY)
+            for item in table_module.select_targets(
+                service, self._admission.announcements
+            )
             if item.address not in joined
             and item.state not in admission.GONE_STATES
         )
-        listed = self._ranking.list_agents(
-            service, bucket, tuple(map(_restore, earlier))
-        )
-        return (*listed, *sorted(draining)[:LIST_LENGTH])
-
-
-def _restore(
-    announcement: model.TargetAnnouncement,
-) -> model.TargetAnnouncement:
-    return msgspec.structs.replace(announcement, state=model.TargetState.READY)
+        return table_module.ServiceTable(service, targets)
 
 
 class Forwarder:
@@ -246,7 +229,7 @@
             return screened
         agents = self._lists.get(forwarded.bucket)
         if not agents:
-            agents = forwarded.agents[:LIST_LENGTH]
+            agents = forwarded.agents[: ranking.LIST_LENGTH]
         chosen = self._admission.choose(agents, excluded)
         if chosen is None:
             reason = self._find_refusal()
--- a/src/egretfork/agent/hints.py
+++ b/src/egretfork/agent/hints.py
@@ -2,11 +2,13 @@
 
 import datetime
 
+import msgspec
+
 from egretfork import actions
 from egretfork.agent import admission
-from egretfork.agent import status as statuses
 from egretfork.agent import events
 from egretfork.agent import flows
+from egretfork.agent import status as statuses
 from egretfork import model
 from egretfork import wire
 
@@ -16,7 +18,11 @@
 
 
 class HintSender:
-    """Sends the own load when it changes, and heartbeats otherwise."""
+    """Sends one hint for flows and requests, at most 10 a second.
+
+    The request engine states its part of the hint; this adds the part of
+    the flows, so that a peer does not get two kinds of hints.
+    """
 
     def __init__(
         self,
@@ -29,20 +35,21 @@
         self._admission = peers
         self._next_hint = datetime.timedelta()
         self._next_heartbeat = datetime.timedelta()
+        self._engine_hint: wire.LoadHint | None = None
         self._last: wire.LoadHint | None = None
         self._turn = 0
 
+    def take(self, hint: wire.LoadHint) -> None:
+        """Take the request engine's part of the hint."""
+        self._engine_hint = hint
+
     def advance(
-        self,
-        now: datetime.timedelta,
-        state: model.TargetState,
-        free_slots: int,
-        waiting: int,
+        self, now: datetime.timedelta, state: model.TargetState
     ) -> list[events.Signal]:
         """Send what is due."""
         if now < self._next_hint:
             return []
-        hint = self._build(state, free_slots, waiting)
+        hint = self._build(state)
         peers = sorted(self._admission.peers)
         if hint != self._last:
             self._last = hint
@@ -58,8 +65,8 @@
     def _find_heartbeat_receivers(
         self, peers: list[model.Endpoint]
     ) -> list[model.Endpoint]:
-        # Two fixed observers, and in turn one of all, so that a lost hint
-        # is repaired everywhere.
+        # Two fixed observers, and in turn one of the others, so that a
+        # lost hint is repaired everywhere.
         own = self._status.address
         following = [peer for peer in peers if peer > own]
         ring = following + [peer for peer in peers if peer < own]
@@ -70,22 +77,26 @@
             self._turn += 1
         return receivers
 
-    def _build(
-        self, state: model.TargetState, free_slots: int, waiting: int
-    ) -> wire.LoadHint:
+    def _build(self, state: model.TargetState) -> wire.LoadHint:
         status = self._status
         service = status.service
-        peers = self._admission
-        return wire.LoadHint(
-            service=status.service_name,
-            agent=status.identity,
-            address=status.address,
+        engine_hint = self._engine_hint or wire.LoadHint(
+            status.service_name,
+            status.identity,
+            status.address,
+            0,
+            0,
+            0,
+            0,
+            state,
+        )
+        if engine_hint.state in admission.ABLE_STATES:
+            engine_hint = msgspec.structs.replace(engine_hint, state=state)
+        return msgspec.structs.replace(
+            engine_hint,
             flows=len(self._table),
             flow_limit=service.connections if service is not None else 0,
-            free_slots=free_slots,
-            waiting=waiting,
-            state=state,
             weight=status.weight,
-            admitted=peers.admitted,
-            shedding=not peers.is_willing,
+            admitted=self._admission.admitted,
+            shedding=not self._admission.is_willing,
         )
--- a/src/egretfork/agent/lifecycle.py
+++ b/src/egretfork/agent/lifecycle.py
@@ -1,9 +1,10 @@
 """Life cycle of the agent's target, as it is announced."""
 
+import dataclasses
 import datetime
 
-from egretfork.agent import status as statuses
 from egretfork.agent import events
+from egretfork.agent import status as statuses
 from egretfork import model
 
 MAX_FAILED_PROBES = 3
@@ -22,6 +23,7 @@
         self._drain_ordered = False
         self._target_drains = False
         self._failed_probes = MAX_FAILED_PROBES
+        self._last_report = events.TargetReport(False, False, False, None)
         self._announced: model.TargetState | None = None
         self._has_been_ready = False
         status.ready = False
@@ -37,6 +39,7 @@
 
     def note_report(self, report: events.TargetReport) -> None:
         """Take the result of a probe."""
+        self._last_report = report
         if not report.healthy:
             self._failed_probes += 1
             return
@@ -67,6 +70,12 @@
             return model.TargetState.READY
         return model.TargetState.JOINING
 
+    @property
+    def report(self) -> events.TargetReport:
+        """Return the last report; an agent that leaves reports a drain."""
+        draining = self._last_report.draining or self._status.is_leaving
+        return dataclasses.replace(self._last_report, draining=draining)
+
     @property
     def has_been_ready(self) -> bool:
         """Tell whether the target has answered a probe."""
--- a/src/egretfork/agent/program.py
+++ b/src/egretfork/agent/program.py
@@ -12,18 +12,21 @@
 import msgspec
 
 import egretfork
-from egretfork.agent import status as statuses
 from egretfork.agent import core
-from egretfork.agent import direct
-from egretfork.agent import forwarding
 from egretfork.agent import shell
+from egretfork.agent import status as statuses
 from egretfork import clock as clock_module
+from egretfork.gossip import messages
+from egretfork.gossip import settings as gossip_settings
+from egretfork.gossip import shell as gossip
 from egretfork import metrics
 from egretfork import model
 from egretfork import reasons
 from egretfork import runtime
 from egretfork import settings as settings_module
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 
 class AgentSettings(settings_module.Settings, frozen=True, kw_only=True):
     """Settings of the agent.
@@ -37,6 +40,7 @@
             target makes it known by registration.
         weight: relative share of new flows.
         stop_timeout_s: time in which a planned stop may finish its work.
+        gossip: dissemination of configurations and announcements.
     """
 
     service: settings_module.Name
@@ -45,6 +49,7 @@
     target: str = ""
     weight: typing.Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
     stop_timeout_s: typing.Annotated[float, msgspec.Meta(ge=0, le=3600)] = 30.0
+    gossip: gossip_settings.GossipSettings
 
     def __post_init__(self) -> None:
         """Check the endpoints.
@@ -74,23 +79,36 @@
 ) -> tuple[mode.Service, ...]:
     """Build the services of the agent, in order of their start."""
     status = build_status(settings)
+    time_source = clock_module.MonotonicClock()
+    generator = random.Random(status.identity.incarnation)
+    zero_ms = status.identity.incarnation - time_source.now() // MILLISECOND
     target = model.parse_endpoint(settings.target) if settings.target else None
-    agent_core = core.AgentCore(
-        status,
-        direct.DirectEngine(settings.service),
-        forwarding.NoRanking(),
-        target,
-        random.Random(status.identity.incarnation),
-    )
     agent = shell.AgentService(
-        agent_core,
+        core.AgentCore(status, target, generator, zero_ms),
         status,
-        clock_module.MonotonicClock(),
+        time_source,
         registry,
         model.Endpoint(settings.host, settings.target_port),
         datetime.timedelta(seconds=settings.stop_timeout_s),
     )
-    return (agent,)
+    dissemination = gossip.GossipService(
+        name=settings.name,
+        availability_zone=settings.availability_zone,
+        host=settings.host,
+        incarnation=status.identity.incarnation,
+        role=messages.Role.AGENT,
+        options=settings.gossip,
+        time_source=time_source,
+        registry=registry,
+        generator=generator,
+        on_configuration=agent.on_configuration,
+        on_announcements=agent.on_announcements,
+        service=settings.service,
+    )
+    agent.set_announcer(dissemination)
+    # Services stop in reverse order: the agent drains while its
+    # announcements still spread.
+    return (dissemination, agent)
 
 
 @click.command()
--- a/src/egretfork/agent/registration.py
+++ b/src/egretfork/agent/registration.py
@@ -8,8 +8,8 @@
 from aiocoap.numbers import types
 
 from egretfork import actions
-from egretfork.agent import status as statuses
 from egretfork.agent import events
+from egretfork.agent import status as statuses
 from egretfork import coap
 from egretfork import model
 
--- a/src/egretfork/agent/router.py
+++ b/src/egretfork/agent/router.py
@@ -8,13 +8,13 @@
 
 from egretfork import actions
 from egretfork.agent import admission
-from egretfork.agent import status as statuses
 from egretfork.agent import events
 from egretfork.agent import flows
 from egretfork.agent import forwarding
 from egretfork.agent import screening
 from egretfork.agent import serving
 from egretfork.agent import sessions
+from egretfork.agent import status as statuses
 from egretfork.agent import transfer
 from egretfork import coap
 from egretfork import model
--- a/src/egretfork/agent/serving.py
+++ b/src/egretfork/agent/serving.py
@@ -10,11 +10,11 @@
 from aiocoap.numbers import types
 
 from egretfork import actions
-from egretfork.agent import status as statuses
 from egretfork.agent import delivery
 from egretfork.agent import events
 from egretfork.agent import flows
 from egretfork.agent import screening
+from egretfork.agent import status as statuses
 from egretfork import coap
 from egretfork import model
 from egretfork import reasons
--- a/src/egretfork/agent/shell.py
+++ b/src/egretfork/agent/shell.py
@@ -9,9 +9,9 @@
 import mode
 
 from egretfork import actions
-from egretfork.agent import status as statuses
 from egretfork.agent import core as core_module
 from egretfork.agent import events
+from egretfork.agent import status as statuses
 from egretfork import clock as clock_module
 from egretfork import datagrams
 from egretfork import logs
@@ -35,6 +35,9 @@
     def announce(self, announcement: model.TargetAnnouncement) -> None:
         """Spread a statement about the own target."""
 
+    def note_heard(self, agent_name: str) -> None:
+        """Count a load hint of another agent as a heartbeat."""
+
 
 class AgentService(mode.Service):
     """Feeds the core and carries out its actions.
@@ -153,6 +156,8 @@
         if isinstance(message, reasons.Failure):
             self._metrics.count(reasons.Drop.MALFORMED)
             return
+        if isinstance(message, wire.LoadHint) and self._announcer is not None:
+            self._announcer.note_heard(message.agent.name)
         self._handle(events.MessageReceived(peer, message))
 
     def _receive_target(self, data: bytes, source: model.Endpoint) -> None:
--- a/src/egretfork/agent/target.py
+++ b/src/egretfork/agent/target.py
@@ -7,12 +7,12 @@
 from aiocoap.numbers import types
 
 from egretfork import actions
-from egretfork.agent import status as statuses
 from egretfork.agent import events
 from egretfork.agent import exchange
 from egretfork.agent import observations
 from egretfork.agent import probes
 from egretfork.agent import registration
+from egretfork.agent import status as statuses
 from egretfork import coap
 from egretfork import model
 from egretfork import reasons
--- a/src/egretfork/agent/transfer.py
+++ b/src/egretfork/agent/transfer.py
@@ -6,7 +6,6 @@
 
 from egretfork import actions
 from egretfork.agent import admission
-from egretfork.agent import status as statuses
 from egretfork.agent import events
 from egretfork.agent import flowrecords
 from egretfork.agent import flows
@@ -14,6 +13,7 @@
 from egretfork.agent import incoming
 from egretfork.agent import serving
 from egretfork.agent import sessions
+from egretfork.agent import status as statuses
 from egretfork import model
 from egretfork import reasons
 from egretfork import wire
@@ -131,16 +131,12 @@
 
     def review(self, now: datetime.timedelta) -> list[events.Signal]:
         """Queue the flows that this agent must no longer own."""
-        own = self._status.address
         leaving = self._status.is_leaving
-        lists: dict[int, tuple[model.Endpoint, ...]] = {}
         for flow in self._table:
-            if flow.bucket not in lists:
-                lists[flow.bucket] = self._lists.get(flow.bucket)
-            agents = lists[flow.bucket]
-            if leaving or (agents and own not in agents):
+            if leaving or self._lists.has_fallen_out(flow.bucket):
                 self._queue.setdefault(flow.key, None)
-            elif self._queue.get(flow.key, own) is None:
+            elif flow.key in self._queue and self._queue[flow.key] is None:
+                # The change that would have moved the flow was undone.
                 del self._queue[flow.key]
         return self._start_batches(now)
 
--- /dev/null
+++ b/tests/flows_support.py
@@ -0,0 +1,498 @@
+"""Agents, entries, callers and targets joined by a network in memory."""
+
+import collections
+import dataclasses
+import datetime
+import heapq
+import itertools
+import json
+import random
+import typing
+import uuid
+
+import aiocoap
+from aiocoap.numbers import codes
+from aiocoap.numbers import types
+
+from egretfork import actions
+from egretfork.agent import core
+from egretfork.agent import events
+from egretfork.agent import status as statuses
+from egretfork import coap
+from egretfork import model
+from egretfork.routing import ranking
+from egretfork.routing import table
+from egretfork import wire
+
+SERVICE = "hatlog"
+SERVICE_ADDRESS = model.Endpoint("10.0.9.1", 5683)
+WALL_CLOCK_ZERO_MS = 1_700_000_000_000
+TICK_S = 0.02
+CALLER_TIMEOUT_S = 2.0
+CALLER_RETRIES = 4
+HALF_SEQUENCE = 1 << 23
+State = model.TargetState
+
+
+def to_time(seconds: float) -> datetime.timedelta:
+    return datetime.timedelta(seconds=seconds)
+
+
+def build_configuration(
+    version: int = 1, **changes: typing.Any
+) -> model.Configuration:
+    fields: dict[str, typing.Any] = {
+        "name": SERVICE,
+        "addresses": (str(SERVICE_ADDRESS),),
+        "targets": ("*",),
+        "cold_start_ms": 1000,
+    }
+    service = model.Service(**(fields | changes))
+    return model.Configuration(version, (service,))
+
+
+class SimTarget:
+    """Target with a health resource, a feed and a resource that echoes."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.state = "ready"
+        self.alive = True
+        self.run_s = 0.03
+        self.answers: dict[int, bytes] = {}
+        self.observers: dict[bytes, int] = {}
+        self.cancelled: set[int] = set()
+        self.message_id = world.rng.randrange(65536)
+
+    def receive(self, data: bytes) -> None:
+        message = coap.decode(data, "agent")
+        assert isinstance(message, aiocoap.Message)
+        kind = coap.classify(message)
+        if kind is coap.Kind.RESET:
+            self.cancelled.add(message.mid)
+        if kind is not coap.Kind.REQUEST or not self.alive:
+            return
+        if message.mid in self.answers:
+            if self.answers[message.mid]:
+                self.send(self.answers[message.mid])
+            return
+        self.answers[message.mid] = b""
+        self.world.after(self.find_delay(message), self.answer, message)
+
+    def find_delay(self, message: aiocoap.Message) -> float:
+        path = message.opt.uri_path
+        if path in (("health",), ("feed",)):
+            return 0.001
+        self.world.note_run(self.name, message)
+        return self.run_s
+
+    def answer(self, message: aiocoap.Message) -> None:
+        path = message.opt.uri_path
+        answer = coap.build_answer(message, codes.CONTENT, message.payload)
+        if path == ("health",):
+            answer.payload = json.dumps({"state": self.state}).encode()
+        if path == ("feed",):
+            answer.payload = str(self.world.feed).encode()
+            self.observe(message, answer)
+        data = coap.encode(answer)
+        self.answers[message.mid] = data
+        self.send(data)
+
+    def observe(
+        self, message: aiocoap.Message, answer: aiocoap.Message
+    ) -> None:
+        if message.opt.observe == coap.OBSERVE_REGISTER:
+            self.observers[message.token] = 1
+            answer.opt.observe = 1
+        elif message.opt.observe == coap.OBSERVE_CANCEL:
+            self.observers.pop(message.token, None)
+
+    def publish(self) -> None:
+        for token, sequence in self.observers.items():
+            self.observers[token] = sequence + 1
+            self.message_id = (self.message_id + 1) % 65536
+            message = aiocoap.Message(
+                mtype=types.NON,
+                mid=self.message_id,
+                token=token,
+                code=codes.CONTENT,
+                payload=str(self.world.feed).encode(),
+                observe=sequence + 1,
+            )
+            self.send(coap.encode(message))
+
+    def send(self, data: bytes) -> None:
+        if self.alive:
+            self.world.after(0.0005, self.world.to_agent, self.name, data)
+
+
+@dataclasses.dataclass
+class Node:
+    """One agent with its target."""
+
+    name: str
+    core: core.AgentCore
+    status: statuses.AgentStatus
+    target: SimTarget
+    endpoint: model.Endpoint
+    alive: bool = True
+    sequence: int = 0
+
+
+@dataclasses.dataclass
+class Entry:
+    """An entry: a routing table and an address."""
+
+    endpoint: model.Endpoint
+    table: table.RoutingTable
+    alive: bool = True
+
+
+@dataclasses.dataclass
+class Exchange:
+    """A caller's request and what became of it."""
+
+    payload: bytes
+    data: bytes
+    message_id: int
+    tries: int = 0
+    acknowledged: bool = False
+    answers: list[aiocoap.Message] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Watch:
+    """A caller's observation."""
+
+    sequence: int = -1
+    heard_s: float = 0.0
+    value: int = -1
+    ended: bool = False
+
+
+class Caller:
+    """CoAP client that retransmits and follows RFC 7641."""
+
+    def __init__(self, world: "World", number: int) -> None:
+        self.world = world
+        host = f"10.{1 + number // 62500}.{number // 250 % 250}.{number % 250}"
+        self.endpoint = model.Endpoint(host, 40_000)
+        self.flow = wire.FlowKey(self.endpoint, SERVICE_ADDRESS)
+        self.bucket = ranking.find_bucket(SERVICE, self.endpoint)
+        self.exchanges: dict[bytes, Exchange] = {}
+        self.watches: dict[bytes, Watch] = {}
+        self.message_id = world.rng.randrange(65536)
+        self.numbers = itertools.count(1)
+
+    def request(
+        self, code: codes.Code = codes.GET, key: bytes = b"", **options: object
+    ) -> Exchange:
+        number = next(self.numbers)
+        token = number.to_bytes(3, "big")
+        payload = f"{self.endpoint.host} {number}".encode()
+        self.message_id = (self.message_id + 1) % 65536
+        message = aiocoap.Message(
+            mtype=types.CON,
+            mid=self.message_id,
+            token=token,
+            code=code,
+            payload=payload,
+            **({"uri_path": ("echo",)} | options),
+        )
+        if code in coap.NON_IDEMPOTENT_CODES:
+            key = key or self.world.make_key()
+            coap.set_opaque_option(message, coap.REQUEST_KEY, key)
+        exchange = Exchange(payload, coap.encode(message), message.mid)
+        self.exchanges[token] = exchange
+        self.transmit(exchange, CALLER_TIMEOUT_S)
+        return exchange
+
+    def observe(self) -> Watch:
+        exchange = self.request(uri_path=("feed",), observe=0)
+        watch = Watch()
+        token = next(t for t, e in self.exchanges.items() if e is exchange)
+        self.watches[token] = watch
+        return watch
+
+    def transmit(self, exchange: Exchange, timeout_s: float) -> None:
+        if exchange.answers or exchange.acknowledged:
+            return
+        if exchange.tries > CALLER_RETRIES:
+            return
+        exchange.tries += 1
+        self.world.from_caller(self, exchange.data)
+        self.world.after(timeout_s, self.transmit, exchange, timeout_s * 2)
+
+    def receive(self, data: bytes) -> None:
+        message = coap.decode(data, "service")
+        assert isinstance(message, aiocoap.Message)
+        kind = coap.classify(message)
+        if kind is coap.Kind.EMPTY_ACK:
+            for exchange in self.exchanges.values():
+                if exchange.message_id == message.mid:
+                    exchange.acknowledged = True
+        if kind is not coap.Kind.RESPONSE:
+            return
+        if message.mtype is types.CON:
+            ack = coap.encode(coap.build_empty(types.ACK, message.mid))
+            self.world.from_caller(self, ack)
+        self.exchanges[message.token].answers.append(message)
+        watch = self.watches.get(message.token)
+        if watch is not None:
+            self.follow(watch, message)
+
+    def follow(self, watch: Watch, message: aiocoap.Message) -> None:
+        sequence = message.opt.observe
+        if sequence is None:
+            watch.ended = True
+            return
+        last, now = watch.sequence, self.world.now_s
+        fresh = last < 0 or now > watch.heard_s + 128
+        fresh = fresh or 0 < (sequence - last) % (1 << 24) < HALF_SEQUENCE
+        if fresh:
+            watch.sequence, watch.heard_s = sequence, now
+            watch.value = int(message.payload)
+
+
+class World:
+    """Everything, in virtual time, from one seed."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        loss: float = 0.0,
+        duplication: float = 0.0,
+        delay_s: tuple[float, float] = (0.001, 0.005),
+        configuration: model.Configuration | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.duplication = duplication
+        self.delay_s = delay_s
+        self.configuration = configuration or build_configuration()
+        self.now_s = 0.0
+        self.heap: list[tuple[float, int, typing.Any, tuple[object, ...]]] = []
+        self.order = itertools.count()
+        self.nodes: dict[str, Node] = {}
+        self.by_endpoint: dict[model.Endpoint, Node] = {}
+        self.entries: list[Entry] = []
+        self.callers: dict[model.Endpoint, Caller] = {}
+        self.announcements: dict[str, model.TargetAnnouncement] = {}
+        self.spread_s = (0.0, 0.0)
+        self.runs: collections.Counter[bytes] = collections.Counter()
+        self.foreign: list[bytes] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.feed = 0
+        self.incarnation = 1000
+        self.keys = itertools.count()
+
+    # Time.
+    def after(self, delay_s: float, call: typing.Any, *rest: object) -> None:
+        due = self.now_s + delay_s
+        heapq.heappush(self.heap, (due, next(self.order), call, rest))
+
+    def run(self, seconds: float) -> None:
+        end = self.now_s + seconds
+        while self.heap and self.heap[0][0] <= end:
+            self.now_s, _, call, rest = heapq.heappop(self.heap)
+            call(*rest)
+        self.now_s = end
+
+    # Members.
+    def add_entry(self) -> Entry:
+        endpoint = model.Endpoint(f"10.0.1.{len(self.entries) + 1}", 7000)
+        entry = Entry(endpoint, table.RoutingTable())
+        entry.table.set_configuration(self.configuration)
+        entry.table.set_announcements(tuple(self.announcements.values()))
+        self.entries.append(entry)
+        return entry
+
+    def add_agent(self, name: str, weight: float = 1.0) -> Node:
+        earlier = self.nodes.get(name)
+        number = len(self.by_endpoint) + 1
+        endpoint = model.Endpoint(
+            f"10.0.{2 + number // 250}.{number % 250}", 7100
+        )
+        if earlier is not None:
+            endpoint = earlier.endpoint
+        self.incarnation += 1
+        status = statuses.AgentStatus(
+            identity=model.AgentIdentity(name, self.incarnation),
+            address=endpoint,
+            service_name=SERVICE,
+            availability_zone="luzon-a",
+            weight=weight,
+        )
+        agent = core.AgentCore(
+            status,
+            model.Endpoint("10.0.8.1", 5683),
+            random.Random(self.rng.random()),
+            WALL_CLOCK_ZERO_MS,
+        )
+        target = SimTarget(self, name)
+        node = Node(name, agent, status, target, endpoint)
+        self.nodes[name] = node
+        self.by_endpoint[endpoint] = node
+        self.handle(node, events.ConfigurationChanged(self.configuration))
+        known = tuple(self.announcements.values())
+        self.handle(node, events.AnnouncementsChanged(known))
+        self.tick(node)
+        return node
+
+    def add_caller(self) -> Caller:
+        caller = Caller(self, len(self.callers))
+        self.callers[caller.endpoint] = caller
+        return caller
+
+    def kill(self, node: Node) -> None:
+        node.alive = False
+        node.target.alive = False
+
+    def announce(self, node: Node, state: State) -> None:
+        node.sequence += 1
+        identity = node.status.identity
+        self.announcements[node.name] = model.TargetAnnouncement(
+            SERVICE,
+            node.name,
+            identity.incarnation,
+            node.sequence,
+            node.endpoint,
+            "luzon-a",
+            state,
+            node.status.weight,
+        )
+        self.spread()
+
+    def spread(self) -> None:
+        current = tuple(
+            item
+            for item in self.announcements.values()
+            if item.state is not State.LEFT
+        )
+        for entry in self.entries:
+            delay = self.rng.uniform(*self.spread_s)
+            self.after(delay, self.update_entry, entry, current)
+        for node in self.nodes.values():
+            event = events.AnnouncementsChanged(current)
+            delay = self.rng.uniform(*self.spread_s)
+            self.after(delay, self.handle, node, event)
+
+    def update_entry(
+        self, entry: Entry, known: tuple[model.TargetAnnouncement, ...]
+    ) -> None:
+        entry.table.set_announcements(known)
+
+    def configure(self, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        for entry in self.entries:
+            entry.table.set_configuration(configuration)
+        for node in self.nodes.values():
+            self.handle(node, events.ConfigurationChanged(configuration))
+
+    # Datagrams.
+    def tick(self, node: Node) -> None:
+        if node.alive and self.by_endpoint[node.endpoint] is node:
+            self.handle(node, events.Tick())
+            self.after(TICK_S, self.tick, node)
+
+    def handle(self, node: Node, event: events.Event) -> None:
+        if not node.alive:
+            return
+        for action in node.core.handle(event, to_time(self.now_s)):
+            self.perform(node, action)
+
+    def perform(self, node: Node, action: events.Action) -> None:
+        match action:
+            case actions.SendMessage(peer, message):
+                self.sent[type(message).__name__] += 1
+                self.carry(self.deliver, node, peer, wire.encode(message))
+            case actions.SendToTarget(payload, None):
+                self.after(0.0005, node.target.receive, payload)
+            case actions.CountReason(reason):
+                self.counts[reason.value] += 1
+            case events.Announce(state, _):
+                self.announce(node, state)
+
+    def carry(self, call: typing.Any, *rest: object) -> None:
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                self.after(self.rng.uniform(*self.delay_s), call, *rest)
+
+    def deliver(self, sender: Node, peer: model.Endpoint, data: bytes) -> None:
+        message = wire.decode(data, "peer")
+        assert isinstance(message, wire.Message), message
+        if isinstance(message, wire.Returned):
+            entry = next(e for e in self.entries if e.endpoint == peer)
+            caller = self.callers.get(message.flow.caller)
+            if entry.alive and caller is not None:
+                self.carry(caller.receive, message.payload)
+            return
+        node = self.by_endpoint.get(peer)
+        if node is not None:
+            event = events.MessageReceived(sender.endpoint, message)
+            self.handle(node, event)
+
+    def to_agent(self, name: str, data: bytes) -> None:
+        node = self.nodes[name]
+        source = model.Endpoint("10.0.8.1", 5683)
+        self.handle(node, events.TargetDatagram(source, data))
+
+    def from_caller(self, caller: Caller, data: bytes) -> None:
+        entries = [entry for entry in self.entries if entry.alive]
+        self.carry(self.forward, self.rng.choice(entries), caller, data)
+
+    def forward(self, entry: Entry, caller: Caller, data: bytes) -> None:
+        service = entry.table.find_service(SERVICE_ADDRESS)
+        agents = service.find_agents(caller.bucket) if service else ()
+        if not agents or not entry.alive:
+            return
+        message = wire.Forwarded(
+            SERVICE,
+            self.configuration.version,
+            caller.flow,
+            caller.bucket,
+            agents,
+            0,
+            0,
+            entry.endpoint,
+            data,
+        )
+        self.carry(
+            self.deliver_forwarded, agents[0], wire.encode(message), entry
+        )
+
+    def deliver_forwarded(
+        self, peer: model.Endpoint, data: bytes, entry: Entry
+    ) -> None:
+        node = self.by_endpoint[peer]
+        message = wire.decode(data, "entry")
+        assert isinstance(message, wire.Forwarded)
+        self.handle(node, events.MessageReceived(entry.endpoint, message))
+
+    # What callers and targets see.
+    def make_key(self) -> bytes:
+        made_ms = WALL_CLOCK_ZERO_MS + int(self.now_s * 1000)
+        number = next(self.keys)
+        value = made_ms << 80 | 7 << 76 | 2 << 62 | number
+        return uuid.UUID(int=value).bytes
+
+    def note_run(self, name: str, message: aiocoap.Message) -> None:
+        if message.code in coap.NON_IDEMPOTENT_CODES:
+            self.runs[message.payload] += 1
+        if message.opt.uri_host not in (None, SERVICE):
+            self.foreign.append(message.payload)
+
+    def publish(self) -> None:
+        self.feed += 1
+        for node in self.nodes.values():
+            node.target.publish()
+
+    def count_flows(self) -> dict[str, int]:
+        return {
+            name: node.core.flow_count
+            for name, node in self.nodes.items()
+            if node.alive
+        }
