--- a/src/egretfork/agent/admission.py
+++ b/src/egretfork/agent/admission.py
@@ -196,11 +196,22 @@
         status = self._status
         if status.is_leaving or status.shedding or not status.ready:
             return False
-        return self._is_filled or self._allowance >= 1.0
+        return self._cold_share >= 1.0 or not self._is_over_pace
 
-    def can_admit(self) -> bool:
+    @property
+    def is_paced(self) -> bool:
+        """Tell whether other agents should take new flows first."""
+        return self.is_willing and self._is_over_pace
+
+    @property
+    def _is_over_pace(self) -> bool:
+        return not self._is_filled and self._allowance < 1.0
+
+    def can_admit(self, beyond_pace: bool = False) -> bool:
         """Tell whether this agent itself takes a new flow now."""
-        return self.is_willing and self._has_room()
+        if not self.is_willing or not self._has_room():
+            return False
+        return beyond_pace or not self._is_over_pace
 
     def can_receive(self) -> bool:
         """Tell whether this agent takes flows that another one moves."""
@@ -229,15 +240,25 @@
         self,
         agents: tuple[model.Endpoint, ...],
         excluded: frozenset[model.Endpoint] = frozenset(),
+        beyond_pace: bool = True,
     ) -> model.Endpoint | None:
-        """Return the less loaded of the first two able agents."""
-        able = (
+        """Return the less loaded of the first two able agents.
+
+        Args:
+            agents: list of the bucket, best first.
+            excluded: agents that do not come into question.
+            beyond_pace: whether agents that are over their pace come
+                into question if there are no others.
+        """
+        able = [
             agent
             for agent in agents
             if agent not in excluded and self._is_able(agent)
-        )
-        first_two = [agent for _, agent in zip(range(2), able)]
-        return min(first_two, key=self._read_load, default=None)
+        ]
+        ahead = [agent for agent in able if not self._is_paced_agent(agent)]
+        if not ahead and beyond_pace:
+            ahead = able
+        return min(ahead[:2], key=self._read_load, default=None)
 
     def choose_successor(
         self,
@@ -249,11 +270,17 @@
 
     def _is_able(self, agent: model.Endpoint) -> bool:
         if agent == self._status.address:
-            return self.can_admit()
+            return self.can_admit(beyond_pace=True)
         peer = self._peers.get(agent)
         # An agent without announcement is new to this one only.
         return peer is None or peer.is_able
 
+    def _is_paced_agent(self, agent: model.Endpoint) -> bool:
+        if agent == self._status.address:
+            return self.is_paced
+        peer = self._peers.get(agent)
+        return peer is not None and peer.hint is not None and peer.hint.paced
+
     def _read_load(self, agent: model.Endpoint) -> float:
         if agent == self._status.address:
             return self.own_load
--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -55,6 +55,7 @@
         target: the target's address, ``None`` if it must register first.
         generator: source of randomness.
         wall_clock_zero_ms: Unix milliseconds at instant zero.
+        idle_timeout: time after which an unused flow is forgotten.
     """
 
     def __init__(
@@ -63,9 +64,10 @@
         target: model.Endpoint | None,
         generator: random.Random,
         wall_clock_zero_ms: int,
+        idle_timeout: datetime.timedelta = flows.IDLE_TIMEOUT,
     ) -> None:
         self._status = status
-        self._table = flows.FlowTable()
+        self._table = flows.FlowTable(idle_timeout=idle_timeout)
         self._engine = engines.RequestEngine(
             status.service_name,
             status.identity,
--- a/src/egretfork/agent/flows.py
+++ b/src/egretfork/agent/flows.py
@@ -132,11 +132,16 @@
 class FlowTable:
     """Flows that this agent owns, least recently used first."""
 
-    def __init__(self, max_bytes: int = MAX_TABLE_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = MAX_TABLE_BYTES,
+        idle_timeout: datetime.timedelta = IDLE_TIMEOUT,
+    ) -> None:
         self._flows: collections.OrderedDict[wire.FlowKey, Flow] = (
             collections.OrderedDict()
         )
         self._max_bytes = max_bytes
+        self._idle_timeout = idle_timeout
         self._bytes = 0
         self._sessions = 0
 
@@ -241,7 +246,7 @@
         idle = []
         while self._flows:
             flow = next(iter(self._flows.values()))
-            if now - flow.last_used < IDLE_TIMEOUT:
+            if now - flow.last_used < self._idle_timeout:
                 break
             self.remove(flow.key)
             idle.append(flow)
--- a/src/egretfork/agent/forwarding.py
+++ b/src/egretfork/agent/forwarding.py
@@ -25,7 +25,7 @@
 # Hints that name each other must not keep a datagram for ever: beyond the
 # first bound hints are not followed, beyond the last it is dropped.
 MAX_HINT_HOPS = 5
-MAX_ADMIT_HOPS = 14
+MAX_ADMIT_HOPS = 10
 HOP_LIMIT = 18
 JOIN_WINDOW = datetime.timedelta(seconds=30)
 
@@ -219,26 +219,34 @@
         )
 
     def _place(
-        self,
-        forwarded: wire.Forwarded,
-        now: datetime.timedelta,
-        excluded: frozenset[model.Endpoint] = frozenset(),
+        self, forwarded: wire.Forwarded, now: datetime.timedelta
     ) -> list[events.Signal] | wire.Forwarded:
         screened = self.screen(forwarded)
         if isinstance(screened, list):
             return screened
-        agents = self._lists.get(forwarded.bucket)
-        if not agents:
-            agents = forwarded.agents[: ranking.LIST_LENGTH]
-        chosen = self._admission.choose(agents, excluded)
+        chosen = self._admission.choose(self._find_list(forwarded))
         if chosen is None:
             reason = self._find_refusal()
             return self._server.refuse(forwarded, screened, reason, now)
         if chosen == self._status.address:
             return forwarded
-        self._admission.note_placed(chosen, now)
-        self.hints.put(forwarded.flow, chosen, now, admit=True)
-        return self._send(forwarded, chosen, admit=True)
+        return self._place_at(forwarded, chosen, now)
+
+    def _place_at(
+        self,
+        forwarded: wire.Forwarded,
+        agent: model.Endpoint,
+        now: datetime.timedelta,
+    ) -> list[events.Signal]:
+        self._admission.note_placed(agent, now)
+        self.hints.put(forwarded.flow, agent, now, admit=True)
+        return self._send(forwarded, agent, admit=True)
+
+    def _find_list(
+        self, forwarded: wire.Forwarded
+    ) -> tuple[model.Endpoint, ...]:
+        listed = self._lists.get(forwarded.bucket)
+        return listed or forwarded.agents[: ranking.LIST_LENGTH]
 
     def _find_refusal(self) -> reasons.Refusal:
         if self._status.is_leaving:
@@ -255,11 +263,15 @@
             return screened
         if self._admission.can_admit():
             return forwarded
-        if forwarded.hops >= MAX_ADMIT_HOPS:
-            reason = self._find_refusal()
-            return self._server.refuse(forwarded, screened, reason, now)
         own = frozenset((self._status.address,))
-        return self._place(forwarded, now, own)
+        agents = self._find_list(forwarded)
+        other = self._admission.choose(agents, own, beyond_pace=False)
+        if other is not None and forwarded.hops < MAX_ADMIT_HOPS:
+            return self._place_at(forwarded, other, now)
+        if self._admission.can_admit(beyond_pace=True):
+            return forwarded
+        reason = self._find_refusal()
+        return self._server.refuse(forwarded, screened, reason, now)
 
     def screen(
         self, forwarded: wire.Forwarded
--- a/src/egretfork/agent/hints.py
+++ b/src/egretfork/agent/hints.py
@@ -99,4 +99,5 @@
             weight=status.weight,
             admitted=self._admission.admitted,
             shedding=not self._admission.is_willing,
+            paced=self._admission.is_paced,
         )
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -129,7 +129,8 @@
 
     Attributes:
         admitted: flows admitted since the start of the agent.
-        shedding: the target asks for less work.
+        shedding: the agent takes no new flows for now.
+        paced: the agent takes new flows only if no other agent does.
     """
 
     service: str
@@ -143,6 +144,7 @@
     weight: float = 1.0
     admitted: int = 0
     shedding: bool = False
+    paced: bool = False
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
