--- a/src/egretfork/standins/target.py
+++ b/src/egretfork/standins/target.py
@@ -30,6 +30,8 @@
 BLOCK_SIZE_EXPONENT = 5
 BUNDLE_BYTES = 6000
 REGISTRATION_LIFETIME_S = 60
+# An agent that restarted learns of its target at the next refresh.
+REGISTRATION_REFRESH_S = 3
 REGISTRATION_PATH = (".well-known", "rd")
 
 
@@ -216,7 +218,7 @@
                 endpoint.RequestResetError,
             ):
                 continue
-            await asyncio.sleep(REGISTRATION_LIFETIME_S / 4)
+            await asyncio.sleep(REGISTRATION_REFRESH_S)
 
 
 async def serve(
