--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -63,10 +63,20 @@
 
 
 class OwnerHint(Message, frozen=True, tag=3):
-    """Tells the sender of a passed-on datagram who owns the flow."""
+    """Tells the agents of a bucket's list who owns a flow.
+
+    Attributes:
+        flow: the flow.
+        owner: agent that owns it.
+        admitted_incarnation: with ``admitted_agent``, the admission; of
+            two owners the one with the smaller admission keeps the flow.
+        admitted_agent: agent that admitted the flow; empty if unknown.
+    """
 
     flow: FlowKey
     owner: model.Endpoint
+    admitted_incarnation: int = 0
+    admitted_agent: str = ""
 
 
 class SessionRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -115,7 +125,13 @@
 
 
 class LoadHint(Message, frozen=True, tag=6):
-    """What an agent tells the other agents of its service about itself."""
+    """What an agent tells the other agents of its service about itself.
+
+    Attributes:
+        admitted: flows admitted since the start of the agent.
+        shedding: the agent takes no new flows for now.
+        paced: the agent takes new flows only if no other agent does.
+    """
 
     service: str
     agent: model.AgentIdentity
@@ -126,6 +142,9 @@
     waiting: int
     state: model.TargetState
     weight: float = 1.0
+    admitted: int = 0
+    shedding: bool = False
+    paced: bool = False
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
@@ -279,7 +298,11 @@
 
 
 class SealReply(Message, frozen=True, tag=18):
-    """One page of a sealed member's records."""
+    """One page of a sealed member's records.
+
+    ``lost_before_ms`` is the key time before which the member knows that
+    records of an earlier epoch were lost.
+    """
 
     service: str
     epoch: int
@@ -287,6 +310,7 @@
     offset: int
     total: int
     records: tuple[RunRecord, ...]
+    lost_before_ms: int = 0
 
 
 class StoredAnswerRequest(Message, frozen=True, tag=19):
