Keep each target list as one packed number

A list is now one number with 4, 8 or 16 bits an index. Ruled out: shared tuples for equal lists, which are faster to read but take up to 180 KB for a service with 7 targets (840 lists).

--- a/src/egretfork/routing/table.py
+++ b/src/egretfork/routing/table.py
@@ -4,58 +4,78 @@
 import collections
 import collections.abc
 import fnmatch
+import itertools
 
 from egretfork import model
 from egretfork.routing import ranking
 
 Announcements = collections.abc.Iterable[model.TargetAnnouncement]
 
-MAX_BYTE_INDEX = 0xFF
-MAX_INDEX = 0xFFFF
+# Bits of an index and array type of a list of ``ranking.LIST_LENGTH``.
+LIST_LAYOUTS = ((4, "H"), (8, "I"), (16, "Q"))
+MAX_TARGETS = 1 << 16
 
 
 class ServiceTable:
     """Target lists of one service.
 
     The list of a bucket is computed when it is first needed and kept as
-    indexes into the targets.
+    one number that holds the indexes of its targets, 2 bytes a bucket for
+    up to 16 targets. Memory is allocated when the first list is needed.
+    Targets beyond ``MAX_TARGETS`` are left out.
     """
 
     def __init__(self, service: model.Service, targets: Announcements) -> None:
         self.service = service
-        self.targets = tuple(targets)
+        self.targets = tuple(itertools.islice(targets, MAX_TARGETS))
         self._candidates = tuple(map(ranking.build_candidate, self.targets))
-        wide = len(self._candidates) >= MAX_BYTE_INDEX
-        self._typecode = "H" if wide else "B"
-        self._absent = MAX_INDEX if wide else MAX_BYTE_INDEX
+        self._addresses = [item.address for item in self._candidates]
+        self._length = min(len(self._candidates), ranking.LIST_LENGTH)
+        self._bits, self._typecode = choose_layout(len(self._candidates))
+        # No list holds the highest index at all of its places.
+        self._absent = (1 << self._bits * ranking.LIST_LENGTH) - 1
         self._lists: array.array[int] | None = None
 
     def find_agents(self, bucket: int) -> tuple[model.Endpoint, ...]:
         """Return the agent addresses of a bucket, best first."""
-        if not self._candidates:
+        if self._length == 0:
             return ()
         if self._lists is None:
             self._lists = self._allocate_lists()
-        start = bucket * ranking.LIST_LENGTH
-        if self._lists[start] == self._absent:
-            self._fill_list(self._lists, bucket)
-        indexes = self._lists[start : start + ranking.LIST_LENGTH]
-        candidates = self._candidates
-        absent = self._absent
-        return tuple([candidates[i].address for i in indexes if i != absent])
+        packed = self._lists[bucket]
+        if packed == self._absent:
+            packed = self._pack_list(bucket)
+            self._lists[bucket] = packed
+        addresses = self._addresses
+        bits = self._bits
+        mask = (1 << bits) - 1
+        agents = (
+            addresses[packed & mask],
+            addresses[packed >> bits & mask],
+            addresses[packed >> 2 * bits & mask],
+            addresses[packed >> 3 * bits & mask],
+        )
+        return agents[: self._length]
 
     def _allocate_lists(self) -> "array.array[int]":
-        length = ranking.BUCKETS * ranking.LIST_LENGTH
-        return array.array(self._typecode, [self._absent]) * length
+        return array.array(self._typecode, [self._absent]) * ranking.BUCKETS
 
-    def _fill_list(self, lists: "array.array[int]", bucket: int) -> None:
+    def _pack_list(self, bucket: int) -> int:
         ranked = ranking.rank_candidates(self._candidates, bucket)
-        start = bucket * ranking.LIST_LENGTH
-        lists[start : start + len(ranked)] = array.array(
-            self._typecode, ranked
+        return sum(
+            index << place * self._bits for place, index in enumerate(ranked)
         )
 
 
+def choose_layout(targets: int) -> tuple[int, str]:
+    """Return the bits of an index and the array type of a list."""
+    return next(
+        (bits, typecode)
+        for bits, typecode in LIST_LAYOUTS
+        if targets <= 1 << bits
+    )
+
+
 class RoutingTable:
     """Services and targets of one configuration and set of announcements.
 
