Rebuild only the services whose targets changed

Replacing the announcements matched all 2,700 targets against their patterns again, sorted them and parsed all service addresses.

Announcements are grouped without a sort, a service is selected again only if its group differs, and addresses are parsed only when the declared services differ.

Before and after, on a busy machine, 650 services and 2,700 targets: change of one target 27.5 ms and 4.2 ms; first build 48 ms and 40 ms, which is within the noise of the machine; memory unchanged.

--- a/src/egretfork/routing/table.py
+++ b/src/egretfork/routing/table.py
@@ -88,28 +88,34 @@
         self.configuration = model.Configuration()
         self._targets: dict[str, tuple[model.TargetAnnouncement, ...]] = {}
         self._services: dict[str, ServiceTable] = {}
+        self._owners: dict[model.Endpoint, str] = {}
         self._addresses: dict[model.Endpoint, ServiceTable] = {}
 
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Put a configuration in force."""
+        declared = configuration.services
+        unchanged = declared == self.configuration.services
         self.configuration = configuration
+        if unchanged:
+            return
         self._services = {
-            service.name: self._renew_service(service)
-            for service in configuration.services
+            service.name: self._renew_service(service) for service in declared
         }
+        self._owners = find_owners(declared)
         self._index_addresses()
 
     def set_announcements(self, announcements: Announcements) -> None:
         """Replace what is known about targets."""
+        earlier = self._targets
         self._targets = group_targets(announcements)
-        changed = [
-            (name, self._renew_service(table.service))
+        changed = {
+            name: self._renew_service(table.service)
             for name, table in self._services.items()
-        ]
-        if all(self._services[name] is table for name, table in changed):
-            return
-        self._services.update(changed)
-        self._index_addresses()
+            if self._targets.get(name) != earlier.get(name)
+        }
+        if changed:
+            self._services.update(changed)
+            self._index_addresses()
 
     def find_service(self, address: model.Endpoint) -> ServiceTable | None:
         """Return the service of a service address."""
@@ -128,24 +134,31 @@
         return present
 
     def _index_addresses(self) -> None:
-        claims = [
-            (model.parse_endpoint(address), table)
-            for table in self._services.values()
-            for address in table.service.addresses
-        ]
-        owners = collections.Counter(
-            address
-            for address, name in {
-                (address, table.service.name) for address, table in claims
-            }
-        )
-        # Control refuses a file that gives one address to two services; if
-        # one arrives nevertheless, neither service gets its datagrams.
         self._addresses = {
-            address: table for address, table in claims if owners[address] == 1
+            address: self._services[name]
+            for address, name in self._owners.items()
         }
 
 
+def find_owners(
+    services: collections.abc.Iterable[model.Service],
+) -> dict[model.Endpoint, str]:
+    """Return the name of the service of each service address.
+
+    Control refuses a file that gives one address to two services; if one
+    arrives nevertheless, neither service gets the address.
+    """
+    claims = collections.defaultdict(set)
+    for service in services:
+        for address in service.addresses:
+            claims[model.parse_endpoint(address)].add(service.name)
+    return {
+        address: names.pop()
+        for address, names in claims.items()
+        if len(names) == 1
+    }
+
+
 def group_targets(
     announcements: Announcements,
 ) -> dict[str, tuple[model.TargetAnnouncement, ...]]:
@@ -156,17 +169,27 @@
     """
     by_agent: dict[str, model.TargetAnnouncement] = {}
     by_address: dict[model.Endpoint, model.TargetAnnouncement] = {}
-    for announcement in sorted(announcements, key=_sort_key):
-        by_agent[announcement.agent] = announcement
-        by_address[announcement.address] = announcement
+    for item in announcements:
+        by_agent[item.agent] = _choose_newer(by_agent.get(item.agent), item)
+        by_address[item.address] = _choose_newer(
+            by_address.get(item.address), item
+        )
     groups = collections.defaultdict(list)
-    for name in sorted(by_agent):
-        announcement = by_agent[name]
-        if by_address[announcement.address] is announcement:
-            groups[announcement.service].append(announcement)
+    for agent in sorted(by_agent):
+        item = by_agent[agent]
+        if by_address[item.address] is item:
+            groups[item.service].append(item)
     return {service: tuple(group) for service, group in groups.items()}
 
 
+def _choose_newer(
+    present: model.TargetAnnouncement | None, item: model.TargetAnnouncement
+) -> model.TargetAnnouncement:
+    if present is None or _sort_key(item) > _sort_key(present):
+        return item
+    return present
+
+
 def _sort_key(
     announcement: model.TargetAnnouncement,
 ) -> tuple[int, int, str, str, model.Endpoint, str, float]:
