--- a/src/egretfork/standins/fabric.py
+++ b/src/egretfork/standins/fabric.py
@@ -84,7 +84,8 @@
             return
         entry = self._rng.choice(self._entries)
         datagram = proxy.encode(wire.FlowKey(caller, service), data)
-        self._towards_entries.sendto(datagram, (entry.host, entry.port))
+        if not isinstance(datagram, reasons.Failure):
+            self._towards_entries.sendto(datagram, (entry.host, entry.port))
 
     def _return(self, data: bytes, entry: model.Endpoint) -> None:
         decoded = proxy.decode(data, str(entry))
