Hold new requests while their flow moves to a successor

Requests that arrived at a leaving agent between the start of a drain and the end of the move were refused as draining, although the successor had room. A new request of a flow under way is now held for at most 1 s and passed to the successor with the move.

--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -332,6 +332,7 @@
         self._forwarder.hints.drop_expired(now)
         return [
             *self._router.expire(now),
+            *self._router.release(now),
             *self._server.advance(now),
             *self._sessions.advance(now),
             *self._target.advance(now),
--- /dev/null
+++ b/src/egretfork/agent/holding.py
@@ -0,0 +1,58 @@
+"""Requests that wait for the move of their flow to a successor."""
+
+import collections
+import dataclasses
+import datetime
+
+from egretfork import wire
+
+# A move takes a few round trips between availability zones; a request that
+# waits longer is served, or refused, where it is.
+MAX_HOLD = datetime.timedelta(seconds=1)
+MAX_HELD = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A caller's datagram and the instant at which it is released."""
+
+    forwarded: wire.Forwarded
+    due: datetime.timedelta
+
+
+class HeldRequests:
+    """Datagrams by flow, bounded in number."""
+
+    def __init__(self) -> None:
+        self._held: collections.OrderedDict[wire.FlowKey, list[Held]] = (
+            collections.OrderedDict()
+        )
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def hold(self, forwarded: wire.Forwarded, now: datetime.timedelta) -> bool:
+        """Hold a datagram; tell whether there was room."""
+        if self._count >= MAX_HELD:
+            return False
+        entry = Held(forwarded, now + MAX_HOLD)
+        self._held.setdefault(forwarded.flow, []).append(entry)
+        self._count += 1
+        return True
+
+    def take(self, key: wire.FlowKey) -> list[wire.Forwarded]:
+        """Release the datagrams of a flow."""
+        entries = self._held.pop(key, [])
+        self._count -= len(entries)
+        return [entry.forwarded for entry in entries]
+
+    def take_due(self, now: datetime.timedelta) -> list[wire.Forwarded]:
+        """Release the datagrams that have waited too long."""
+        result: list[wire.Forwarded] = []
+        while self._held:
+            key = next(iter(self._held))
+            if self._held[key][0].due > now:
+                break
+            result += self.take(key)
+        return result
--- a/src/egretfork/agent/router.py
+++ b/src/egretfork/agent/router.py
@@ -82,6 +82,7 @@
         self._table.add(flow)
         self._forwarder.hints.drop(flow.key)
         self._admission.note_admitted()
+        self._transfers.review_flow(flow)
         told = self._transfers.tell_owner(flow, forwarded.agents)
         return [*told, *self._serve(flow, forwarded, now)]
 
@@ -90,6 +91,7 @@
         flow: flows.Flow,
         forwarded: wire.Forwarded,
         now: datetime.timedelta,
+        may_hold: bool = True,
     ) -> list[events.Signal]:
         peer = str(flow.key.caller)
         message = coap.decode(forwarded.payload, peer)
@@ -99,7 +101,7 @@
         flow.note_entry(forwarded.entry)
         kind = coap.classify(message)
         if kind is coap.Kind.REQUEST:
-            return self._serve_request(flow, forwarded, message, now)
+            return self._serve_request(flow, forwarded, message, now, may_hold)
         if kind is coap.Kind.EMPTY_ACK:
             return self._serve_acknowledgement(flow, forwarded, message)
         if kind is coap.Kind.RESET:
@@ -114,6 +116,7 @@
         forwarded: wire.Forwarded,
         message: aiocoap.Message,
         now: datetime.timedelta,
+        may_hold: bool,
     ) -> list[events.Signal]:
         exchange = flow.find_exchange(message.mid)
         if exchange is not None and is_current(exchange, now):
@@ -126,6 +129,11 @@
         )
         if isinstance(screened, list):
             return screened
+        if self._status.is_leaving and may_hold:
+            # The successor can serve what this agent would have to refuse.
+            if self._transfers.is_under_way(flow.key):
+                if self._transfers.held.hold(forwarded, now):
+                    return []
         return self._serve_screened(flow, forwarded, screened, now)
 
     def _serve_screened(
@@ -203,6 +211,15 @@
     ) -> list[events.Signal]:
         return self._forwarder.relay(forwarded, agent)
 
+    def release(self, now: datetime.timedelta) -> list[events.Signal]:
+        """Serve the requests whose flow was not moved in time."""
+        result: list[events.Signal] = []
+        for forwarded in self._transfers.held.take_due(now):
+            flow = self._table.get(forwarded.flow)
+            if flow is not None:
+                result += self._serve(flow, forwarded, now, may_hold=False)
+        return result
+
     def expire(self, now: datetime.timedelta) -> list[events.Signal]:
         """Forget flows past the idle time-out."""
         result: list[events.Signal] = []
--- a/src/egretfork/agent/transfer.py
+++ b/src/egretfork/agent/transfer.py
@@ -4,12 +4,15 @@
 import datetime
 import itertools
 
+import msgspec
+
 from egretfork import actions
 from egretfork.agent import admission
 from egretfork.agent import events
 from egretfork.agent import flowrecords
 from egretfork.agent import flows
 from egretfork.agent import forwarding
+from egretfork.agent import holding
 from egretfork.agent import incoming
 from egretfork.agent import serving
 from egretfork.agent import sessions
@@ -24,7 +27,8 @@
 RESEND_INTERVAL = datetime.timedelta(milliseconds=250)
 # A successor that has not acknowledged in this time is given up for another.
 BATCH_TIMEOUT = datetime.timedelta(seconds=3)
-REVIEW_INTERVAL = datetime.timedelta(seconds=1)
+START_INTERVAL = datetime.timedelta(milliseconds=100)
+MAX_STARTS = 512
 REFUSAL_PAUSE = datetime.timedelta(seconds=2)
 
 
@@ -74,7 +78,8 @@
         self._moving: set[wire.FlowKey] = set()
         self._queue: dict[wire.FlowKey, model.Endpoint | None] = {}
         self._refused: dict[model.Endpoint, datetime.timedelta] = {}
-        self._next_review = datetime.timedelta()
+        self._next_start = datetime.timedelta()
+        self.held = holding.HeldRequests()
         self._incoming = incoming.IncomingTransfers(
             table, server, session_server, peers, self._moving
         )
@@ -89,6 +94,10 @@
         """Return the number of flows that are being taken in."""
         return self._incoming.flow_count
 
+    def is_under_way(self, key: wire.FlowKey) -> bool:
+        """Tell whether a flow is about to be owned by a successor."""
+        return key in self._moving
+
     def tell_owner(
         self, flow: flows.Flow, agents: tuple[model.Endpoint, ...]
     ) -> list[events.Signal]:
@@ -130,32 +139,39 @@
         return [actions.SendMessage(hint.owner, self._build_hint(flow))]
 
     def review(self, now: datetime.timedelta) -> list[events.Signal]:
-        """Queue the flows that this agent must no longer own."""
-        leaving = self._status.is_leaving
+        """Queue the flows that this agent must no longer own.
+
+        Called when the lists or the own state have changed.
+        """
         for flow in self._table:
-            if leaving or self._lists.has_fallen_out(flow.bucket):
-                self._queue.setdefault(flow.key, None)
-            elif flow.key in self._queue and self._queue[flow.key] is None:
-                # The change that would have moved the flow was undone.
-                del self._queue[flow.key]
+            self.review_flow(flow)
         return self._start_batches(now)
 
+    def review_flow(self, flow: flows.Flow) -> None:
+        """Queue one flow if this agent must not own it."""
+        leaving = self._status.is_leaving
+        if leaving or self._lists.has_fallen_out(flow.bucket):
+            self._queue.setdefault(flow.key, None)
+        elif flow.key in self._queue and self._queue[flow.key] is None:
+            # The change that would have moved the flow was undone.
+            del self._queue[flow.key]
+
     def _start_batches(self, now: datetime.timedelta) -> list[events.Signal]:
         result: list[events.Signal] = []
         groups: dict[model.Endpoint, list[flows.Flow]] = {}
         excluded = self._find_excluded(now)
-        for key in tuple(self._queue):
+        for key in tuple(itertools.islice(self._queue, MAX_STARTS)):
             if len(self._batches) + len(groups) >= MAX_OPEN_BATCHES:
                 break
+            named = self._queue.pop(key)
             flow = self._table.get(key)
             if flow is None or key in self._moving:
                 # A batch under way puts the flow back if it fails.
-                del self._queue[key]
                 continue
-            successor = self._find_successor(flow, excluded)
+            successor = self._find_successor(flow, named, excluded)
             if successor is None:
+                self._queue[key] = named
                 continue
-            del self._queue[key]
             self._admission.note_placed(successor, now)
             group = groups.setdefault(successor, [])
             size = sum(member.size_bytes for member in group)
@@ -178,9 +194,11 @@
         return frozenset(self._refused)
 
     def _find_successor(
-        self, flow: flows.Flow, excluded: frozenset[model.Endpoint]
+        self,
+        flow: flows.Flow,
+        named: model.Endpoint | None,
+        excluded: frozenset[model.Endpoint],
     ) -> model.Endpoint | None:
-        named = self._queue.get(flow.key)
         if named is not None and not self._admission.is_gone(named):
             if named not in excluded:
                 return named
@@ -254,7 +272,13 @@
     ) -> list[events.Signal]:
         self._table.remove(flow.key)
         self._hints.put(flow.key, successor, now)
-        return self._sessions.close(flow)
+        passed = (
+            actions.SendMessage(
+                successor, msgspec.structs.replace(item, hops=item.hops + 1)
+            )
+            for item in self.held.take(flow.key)
+        )
+        return [*self._sessions.close(flow), *passed]
 
     def receive(
         self, message: wire.FlowTransfer, now: datetime.timedelta
@@ -279,6 +303,7 @@
         result: list[events.Signal] = []
         for flow in self._incoming.take_owned():
             self._hints.drop(flow.key)
+            self.review_flow(flow)
             agents = self._lists.get(flow.bucket)
             result += self.tell_owner(flow, agents)
         return result
@@ -298,16 +323,16 @@
         return result
 
     def advance(self, now: datetime.timedelta) -> list[events.Signal]:
-        """Repeat what is not acknowledged; review all flows at times."""
+        """Repeat what is not acknowledged; start what has waited."""
         result: list[events.Signal] = []
         for batch in tuple(self._batches.values()):
             if batch.due <= now:
                 result += self._repeat(batch, now)
         result += self._incoming.advance(now)
         result += self._settle_incoming(now)
-        if now >= self._next_review:
-            self._next_review = now + REVIEW_INTERVAL
-            result += self.review(now)
+        if self._queue and now >= self._next_start:
+            self._next_start = now + START_INTERVAL
+            result += self._start_batches(now)
         return result
 
     def _repeat(
