--- a/src/egretfork/gossip/budget.py
+++ b/src/egretfork/gossip/budget.py
@@ -72,7 +72,8 @@
     @property
     def waiting(self) -> int:
         """Return the number of messages that wait."""
-        return sum(len(queue) for queue in self._queues)
+        first, second, third = self._queues
+        return len(first) + len(second) + len(third)
 
     def charge(self, size: int, now: datetime.timedelta) -> None:
         """Charge a received datagram."""
--- a/src/egretfork/gossip/core.py
+++ b/src/egretfork/gossip/core.py
@@ -71,6 +71,18 @@
         """Return the configuration in force."""
         return self._history.newest
 
+    def load(
+        self,
+        configuration: model.Configuration,
+        batch: messages.RecordBatch,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take over known state without telling others."""
+        self._history.advance(deltas.normalize(configuration))
+        self._confirmations.set_version(configuration.version)
+        self._exchange.merge(batch, now)
+        self._exchange.take_pending()
+
     def list_versions(self) -> tuple[tuple[messages.NodeRecord, int], ...]:
         """Return the nodes and the version that each surely confirmed."""
         self._refresh_nodes()
@@ -118,7 +130,7 @@
             case messages.Records():
                 self._merge(peer, message.batch, now)
             case messages.PackedRecords():
-                self._merge_packed(peer, message, now)
+                self._merge(peer, exchange.unpack(message), now)
             case messages.Digest():
                 self._answer_digest(peer, message, now)
             case messages.DigestReply():
@@ -214,24 +226,15 @@
     def _merge(
         self,
         peer: model.Endpoint,
-        batch: messages.RecordBatch,
-        now: datetime.timedelta,
-    ) -> None:
-        _, newer = self._exchange.merge(batch, now)
-        for message in exchange.make_messages(newer):
-            self._send(budget.Priority.EXCHANGE, peer, message)
-
-    def _merge_packed(
-        self,
-        peer: model.Endpoint,
-        message: messages.PackedRecords,
+        batch: messages.RecordBatch | reasons.Failure,
         now: datetime.timedelta,
     ) -> None:
-        batch = exchange.unpack(message)
         if isinstance(batch, reasons.Failure):
             self._count(reasons.Drop.MALFORMED)
             return
-        self._merge(peer, batch, now)
+        _, newer = self._exchange.merge(batch, now)
+        for message in exchange.make_messages(newer):
+            self._send(budget.Priority.EXCHANGE, peer, message)
 
     def _use_cells(
         self,
@@ -369,6 +372,7 @@
             self._exchange.nodes_changed = False
             self._peers.refresh(self._exchange.records)
             self._confirmations.refresh_table()
+            self._subscribers.refresh_entries()
 
     def _defend_record(self, now: datetime.timedelta) -> None:
         """Announce this node again if another record of it is newer."""
--- a/src/egretfork/gossip/subscription.py
+++ b/src/egretfork/gossip/subscription.py
@@ -56,6 +56,7 @@
         self._history = history
         self._exchange = state
         self._generator = generator
+        self._entries: list[model.Endpoint] = []
         self._by_agent: dict[str, Subscriber] = {}
 
     def __len__(self) -> int:
@@ -108,6 +109,16 @@
             pushed_at=now,
         )
 
+    def refresh_entries(self) -> None:
+        """Take over the addresses of the other known entries."""
+        self._entries = [
+            record.address
+            for record in self._exchange.records.nodes.values()
+            if record.role is messages.Role.ENTRY
+            and not record.left
+            and record.name != self._name
+        ]
+
     def remove(self, agent: model.AgentIdentity) -> None:
         """Drop the subscription of one life of an agent."""
         known = self._by_agent.get(agent.name)
@@ -201,21 +212,10 @@
         return record.announcement.order if record else (0, 0)
 
     def _sample_entries(self) -> tuple[model.Endpoint, ...]:
-        entries = self._list_entries()
-        size = min(ENTRY_SAMPLE, len(entries))
-        return tuple(self._generator.sample(entries, size))
-
-    def _list_entries(self) -> list[model.Endpoint]:
-        return [
-            record.address
-            for record in self._exchange.records.nodes.values()
-            if record.role is messages.Role.ENTRY
-            and not record.left
-            and record.name != self._name
-        ]
+        size = min(ENTRY_SAMPLE, len(self._entries))
+        return tuple(self._generator.sample(self._entries, size))
 
     def _is_full(self) -> bool:
         targets = len(self._exchange.records.targets)
-        entries = len(self._list_entries()) + 1
-        fair = 2 * targets / entries
+        fair = 2 * targets / (len(self._entries) + 1)
         return len(self._by_agent) > 2 * fair + SPARE_SUBSCRIBERS
