Vary the renewal period of subscriptions

Agents that started together renewed in the same 100 ms every 10 s, so that the worst second of a node at rest had 4,038 bytes (150 nodes, 900 agents, sent plus received).

--- a/src/egretfork/gossip/agent.py
+++ b/src/egretfork/gossip/agent.py
@@ -22,6 +22,7 @@
 SUBSCRIPTIONS = 2
 RETRY_PERIOD = datetime.timedelta(seconds=1)
 RENEWAL_PERIOD = datetime.timedelta(seconds=10)
+RENEWAL_SPREAD = 0.3
 MAINTENANCE_PERIOD = datetime.timedelta(seconds=1)
 MAX_ATTEMPTS = 3
 MAX_KNOWN_ENTRIES = 32
@@ -265,7 +266,9 @@
             return
         link.attempts = 0
         link.seen = (reply.incarnation, reply.sequence)
-        link.due_at = now + RENEWAL_PERIOD
+        # Agents that started together must not renew together for ever.
+        spread = 1 + RENEWAL_SPREAD * (2 * self._generator.random() - 1)
+        link.due_at = now + RENEWAL_PERIOD * spread
         if self._own is not None and link.seen < self._own.order:
             link.due_at = now + RETRY_PERIOD
         if reply.order != self._order:
