Renew subscriptions each 20 s and send entries only if wanted

At 150 nodes and 900 agents at rest a node had 525 bytes a second, sent plus received; subscriptions were two thirds of it. A dead agent keeps its entry's version unconfirmed for 60 s, not 30 s.

--- a/src/egretfork/bench/gossip.py
+++ b/src/egretfork/bench/gossip.py
@@ -111,7 +111,7 @@
             "seconds_nodes": self._last_use(self.people.nodes, start_us),
             "seconds_agents": self._last_use(self.people.agents, start_us),
             "complete": self._all_have(everyone),
-            "seconds_confirmed": self._measure_confirmed(publisher, start_us),
+            "seconds_confirmed": confirmed,
             "traffic": summarize_traffic(self.people.nodes, window),
         }
 
--- a/src/egretfork/gossip/agent.py
+++ b/src/egretfork/gossip/agent.py
@@ -21,10 +21,11 @@
 
 SUBSCRIPTIONS = 2
 RETRY_PERIOD = datetime.timedelta(seconds=1)
-RENEWAL_PERIOD = datetime.timedelta(seconds=10)
+RENEWAL_PERIOD = datetime.timedelta(seconds=20)
 RENEWAL_SPREAD = 0.3
 MAINTENANCE_PERIOD = datetime.timedelta(seconds=1)
 MAX_ATTEMPTS = 3
+MIN_KNOWN_ENTRIES = 6
 MAX_KNOWN_ENTRIES = 32
 
 
@@ -318,6 +319,9 @@
 
     def _renew(self, link: Link, now: datetime.timedelta) -> None:
         if link.attempts >= MAX_ATTEMPTS:
+            self._entries = [
+                entry for entry in self._entries if entry != link.entry
+            ]
             self._replace(link, now)
             return
         link.attempts += 1
@@ -330,6 +334,7 @@
             checksum=self._checksum,
             records=self._exchange.records.hash_service(self._service),
             announcement=None if seen else self._own,
+            entries_wanted=len(self._entries) < MIN_KNOWN_ENTRIES,
         )
         self._send(budget.Priority.RECORDS, link.entry, message)
 
--- a/src/egretfork/gossip/messages.py
+++ b/src/egretfork/gossip/messages.py
@@ -198,6 +198,7 @@
         checksum: checksum of its part.
         records: checksum of the announcements it knows of the service.
         announcement: its own, until the entry is known to have it.
+        entries_wanted: whether the agent knows too few entries.
     """
 
     service: str
@@ -206,6 +207,7 @@
     checksum: int
     records: int
     announcement: model.TargetAnnouncement | None = None
+    entries_wanted: bool = False
 
 
 class SubscribeReply(wire.Message, frozen=True, tag=111):
@@ -216,7 +218,7 @@
         checksum: checksum of the part.
         incarnation: of the newest announcement of the agent, 0 if none.
         sequence: of the newest announcement of the agent.
-        entries: other entries.
+        entries: other entries, if wanted or ``full``.
         full: the agent is to use another entry if it can.
     """
 
--- a/src/egretfork/gossip/subscription.py
+++ b/src/egretfork/gossip/subscription.py
@@ -10,7 +10,7 @@
 from egretfork.gossip import transfer
 from egretfork import model
 
-SILENCE_LIMIT = datetime.timedelta(seconds=30)
+SILENCE_LIMIT = datetime.timedelta(seconds=60)
 CONFIRM_RESEND_DELAY = datetime.timedelta(seconds=1)
 # Pushes in a row without a confirmation; afterwards the agent's own
 # renewal shows what it lacks.
@@ -72,13 +72,15 @@
         self._renew(peer, message, now)
         part = deltas.select_part(self._history.newest, message.service)
         incarnation, sequence = self._get_known_order(message.agent.name)
+        full = self._is_full()
+        wanted = full or message.entries_wanted
         reply = messages.SubscribeReply(
             order=self._history.order,
             checksum=deltas.compute_checksum(part),
             incarnation=incarnation,
             sequence=sequence,
-            entries=self._sample_entries(),
-            full=self._is_full(),
+            entries=self._sample_entries() if wanted else (),
+            full=full,
         )
         records = self._exchange.records
         if message.records == records.hash_service(message.service):
