Ask a late agent for a heartbeat before it counts as silent

One lost heartbeat of 1 s leaves a gap of 2 s and a delay, which is the limit for a suspicion. An observer now asks after 1.25 s and again each 250 ms; the silence is checked at each tick and not each second, so that a dead agent is reported after 2.0 to 2.1 s.

--- a/src/egretfork/gossip/agent.py
+++ b/src/egretfork/gossip/agent.py
@@ -1,6 +1,5 @@
 """Dissemination decisions of an agent, which subscribes to two entries."""
 
-import dataclasses
 import datetime
 import random
 
@@ -11,6 +10,7 @@
 from egretfork.gossip import deltas
 from egretfork.gossip import events
 from egretfork.gossip import exchange
+from egretfork.gossip import links
 from egretfork.gossip import messages
 from egretfork.gossip import observers
 from egretfork.gossip import store
@@ -19,31 +19,11 @@
 from egretfork import reasons
 from egretfork import wire
 
-SUBSCRIPTIONS = 2
 RETRY_PERIOD = datetime.timedelta(seconds=1)
 RENEWAL_PERIOD = datetime.timedelta(seconds=20)
 RENEWAL_SPREAD = 0.3
 MAINTENANCE_PERIOD = datetime.timedelta(seconds=1)
 MAX_ATTEMPTS = 3
-MIN_KNOWN_ENTRIES = 6
-MAX_KNOWN_ENTRIES = 32
-
-
-@dataclasses.dataclass(slots=True)
-class Link:
-    """Subscription to one entry.
-
-    Attributes:
-        entry: the entry.
-        due_at: when the next renewal is sent.
-        attempts: renewals in a row without an answer.
-        seen: order of the own announcement that the entry is known to have.
-    """
-
-    entry: model.Endpoint
-    due_at: datetime.timedelta
-    attempts: int = 0
-    seen: tuple[int, int] = (0, 0)
 
 
 class AgentCore:
@@ -60,7 +40,6 @@
     ) -> None:
         self._identity = identity
         self._service = service
-        self._seeds = seeds
         self._generator = generator
         self._outbox = budget.Outbox(rate_bytes_per_s, burst_bytes)
         self._puller = transfer.Puller(service)
@@ -70,9 +49,8 @@
         self._order = messages.NONE
         self._checksum = deltas.compute_checksum(deltas.EMPTY)
         self._own: model.TargetAnnouncement | None = None
-        self._links: list[Link] = []
-        self._entries: list[model.Endpoint] = list(seeds)
-        self._visible: tuple[model.TargetAnnouncement, ...] = ()
+        self._links = links.Links(seeds, generator)
+        self._silent: tuple[messages.Suspicion, ...] = ()
         self._next_maintenance = datetime.timedelta()
         self._superseded = False
         self._actions: list[events.Action] = []
@@ -116,6 +94,8 @@
         match message:
             case messages.Heartbeat():
                 self._observers.hear(message.agent.name, now)
+                if message.asks:
+                    self._send_heartbeat(peer)
             case messages.Offer():
                 self._consider(peer, message.order, message.checksum, now)
             case messages.Piece():
@@ -157,7 +137,9 @@
         """Take over a newer version, or begin to pull it if it differs."""
         if order == self._order:
             # The entry repeats what it did not see confirmed.
-            self._renew_soon(peer, now)
+            link = self._links.find(peer)
+            if link is not None:
+                link.due_at = now
             return
         if not order.follows(self._order):
             return
@@ -202,8 +184,7 @@
         self._checksum = deltas.compute_checksum(part)
         self._puller.finish(self._order)
         self._actions.append(events.UseConfiguration(part))
-        for link in self._links:
-            link.due_at = now
+        self._links.renew_all(now)
 
     # Announcements.
 
@@ -215,8 +196,7 @@
             announcement, sequence=max(announcement.sequence, last + 1)
         )
         self._merge(messages.RecordBatch(targets=(self._own,)), now)
-        for link in self._links:
-            link.due_at = now
+        self._links.renew_all(now)
 
     def _merge(
         self, batch: messages.RecordBatch, now: datetime.timedelta
@@ -261,8 +241,8 @@
         reply: messages.SubscribeReply,
         now: datetime.timedelta,
     ) -> None:
-        self._learn_entries(reply.entries)
-        link = self._find_link(peer)
+        self._links.learn(reply.entries)
+        link = self._links.find(peer)
         if link is None:
             return
         link.attempts = 0
@@ -277,51 +257,18 @@
         if reply.full and reply.entries:
             self._replace(link, now)
 
-    def _find_link(self, peer: model.Endpoint) -> Link | None:
-        return next((link for link in self._links if link.entry == peer), None)
-
-    def _renew_soon(
-        self, peer: model.Endpoint, now: datetime.timedelta
-    ) -> None:
-        link = self._find_link(peer)
-        if link is not None:
-            link.due_at = now
-
-    def _learn_entries(self, entries: tuple[model.Endpoint, ...]) -> None:
-        for entry in entries:
-            if entry in self._entries:
-                self._entries.remove(entry)
-            self._entries.append(entry)
-        del self._entries[:-MAX_KNOWN_ENTRIES]
-
-    def _replace(self, link: Link, now: datetime.timedelta) -> None:
-        self._links.remove(link)
+    def _replace(self, link: links.Link, now: datetime.timedelta) -> None:
+        self._links.active.remove(link)
         self._send(
             budget.Priority.EXCHANGE,
             link.entry,
             messages.Unsubscribe(self._identity),
         )
-        self._subscribe(now, avoided=link.entry)
+        self._links.fill(now, avoided=link.entry)
 
-    def _subscribe(
-        self,
-        now: datetime.timedelta,
-        avoided: model.Endpoint | None = None,
-    ) -> None:
-        used = {link.entry for link in self._links} | {avoided}
-        known = dict.fromkeys([*self._entries, *self._seeds])
-        candidates = [entry for entry in known if entry not in used]
-        if not candidates and avoided is not None and not self._links:
-            candidates = [avoided]
-        if candidates:
-            entry = self._generator.choice(candidates)
-            self._links.append(Link(entry=entry, due_at=now))
-
-    def _renew(self, link: Link, now: datetime.timedelta) -> None:
+    def _renew(self, link: links.Link, now: datetime.timedelta) -> None:
         if link.attempts >= MAX_ATTEMPTS:
-            self._entries = [
-                entry for entry in self._entries if entry != link.entry
-            ]
+            self._links.forget(link.entry)
             self._replace(link, now)
             return
         link.attempts += 1
@@ -334,51 +281,65 @@
             checksum=self._checksum,
             records=self._exchange.records.hash_service(self._service),
             announcement=None if seen else self._own,
-            entries_wanted=len(self._entries) < MIN_KNOWN_ENTRIES,
+            entries_wanted=self._links.knows_few,
         )
         self._send(budget.Priority.RECORDS, link.entry, message)
 
     # Periodic work.
 
     def _run_periodic_work(self, now: datetime.timedelta) -> None:
-        if len(self._links) < SUBSCRIPTIONS:
-            self._subscribe(now)
-        for link in list(self._links):
+        self._links.fill(now)
+        for link in list(self._links.active):
             if now >= link.due_at:
                 self._renew(link, now)
         due = self._puller.poll(now)
         if due is not None:
             self._send(budget.Priority.CONFIGURATION, *due)
+        self._observe(now)
         if now >= self._next_maintenance:
             self._next_maintenance = now + MAINTENANCE_PERIOD
             self._maintain(now)
         changed = self._exchange.members.take_changes()
         if changed is not None:
-            self._visible = changed
+            self._observers.watch(changed, now)
             self._actions.append(events.UseAnnouncements(changed))
 
     def _maintain(self, now: datetime.timedelta) -> None:
         self._exchange.members.expire(now)
         if self._own is None:
             return
-        heartbeat = messages.Heartbeat(self._identity)
-        for address in self._observers.list_receivers(self._visible):
-            self._send(budget.Priority.RECORDS, address, heartbeat)
-        silent = self._observers.list_silent(self._visible, now)
-        suspicions = tuple(
-            observers.make_suspicion(item, self._identity.name)
-            for item in silent
-            if not self._exchange.members.is_suspect(item.agent)
-        )
-        if not suspicions:
+        for address in self._observers.receivers:
+            self._send_heartbeat(address)
+        if not self._silent:
             return
-        batch = messages.RecordBatch(suspicions=suspicions)
+        batch = messages.RecordBatch(suspicions=self._silent)
         self._merge(batch, now)
-        for link in self._links:
+        for link in self._links.active:
             for message in exchange.make_messages(batch):
                 self._send(budget.Priority.RECORDS, link.entry, message)
 
+    def _send_heartbeat(
+        self, peer: model.Endpoint, asks: bool = False
+    ) -> None:
+        heartbeat = messages.Heartbeat(self._identity, asks)
+        self._send(budget.Priority.RECORDS, peer, heartbeat)
+
+    def _observe(self, now: datetime.timedelta) -> None:
+        """Ask agents that are late; report newly silent ones at once."""
+        if self._own is None:
+            return
+        for address in self._observers.list_late(now):
+            self._send_heartbeat(address, asks=True)
+        before = {item.agent for item in self._silent}
+        self._silent = tuple(
+            observers.make_suspicion(item, self._identity.name)
+            for item in self._observers.poll(now)
+            if not self._exchange.members.is_suspect(item.agent)
+        )
+        if any(item.agent not in before for item in self._silent):
+            self._next_maintenance = now
+
     def _leave(self) -> None:
-        for link in self._links:
+        for link in self._links.active:
             message = messages.Unsubscribe(self._identity)
             self._send(budget.Priority.EXCHANGE, link.entry, message)
--- a/src/egretfork/gossip/messages.py
+++ b/src/egretfork/gossip/messages.py
@@ -237,9 +237,16 @@
 
 
 class Heartbeat(wire.Message, frozen=True, tag=113):
-    """Tells an observer of the same service that the agent is alive."""
+    """Tells an observer of the same service that the agent is alive.
+
+    Attributes:
+        agent: the sender.
+        asks: the sender did not hear from the receiver for a while; the
+            receiver answers at once.
+    """
 
     agent: model.AgentIdentity
+    asks: bool = False
 
 
 AnyMessage = (
--- a/src/egretfork/gossip/observers.py
+++ b/src/egretfork/gossip/observers.py
@@ -7,6 +7,10 @@
 
 HEARTBEAT_PERIOD = datetime.timedelta(seconds=1)
 SILENCE_LIMIT = datetime.timedelta(seconds=2)
+# One lost heartbeat must not make an agent suspect: it is asked when its
+# heartbeat is late, and again until the limit.
+ASK_DELAY = datetime.timedelta(milliseconds=1250)
+ASK_PERIOD = datetime.timedelta(milliseconds=250)
 OBSERVERS = 2
 
 
@@ -19,35 +23,55 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
+        self._watched: list[model.TargetAnnouncement] = []
         self._heard: dict[str, datetime.timedelta] = {}
+        self._asked_at = datetime.timedelta()
         self._polled_at: datetime.timedelta | None = None
+        self.receivers: list[model.Endpoint] = []
+
+    def watch(
+        self,
+        visible: tuple[model.TargetAnnouncement, ...],
+        now: datetime.timedelta,
+    ) -> None:
+        """Take over the visible targets of the service."""
+        ring = sorted(
+            (item for item in visible if item.agent != self._name),
+            key=lambda item: (item.agent < self._name, item.agent),
+        )
+        self.receivers = [item.address for item in ring[:OBSERVERS]]
+        self._watched = ring[::-1][:OBSERVERS]
+        self._heard = {
+            item.agent: self._heard.get(item.agent, now)
+            for item in self._watched
+        }
 
     def hear(self, agent: str, now: datetime.timedelta) -> None:
         """Note that an agent sent something."""
         if agent in self._heard:
             self._heard[agent] = now
 
-    def list_receivers(
-        self, visible: tuple[model.TargetAnnouncement, ...]
-    ) -> list[model.Endpoint]:
-        """Return where heartbeats go."""
-        return [item.address for item in self._list_ring(visible)[:OBSERVERS]]
-
-    def list_silent(
-        self,
-        visible: tuple[model.TargetAnnouncement, ...],
-        now: datetime.timedelta,
-    ) -> list[model.TargetAnnouncement]:
+    def poll(self, now: datetime.timedelta) -> list[model.TargetAnnouncement]:
         """Return the watched agents that are silent for too long."""
-        watched = self._list_ring(visible)[::-1][:OBSERVERS]
-        self._heard = {
-            item.agent: self._heard.get(item.agent, now) for item in watched
-        }
         self._forgive_own_pause(now)
+        return self._list_silent(SILENCE_LIMIT, now)
+
+    def list_late(self, now: datetime.timedelta) -> list[model.Endpoint]:
+        """Return the watched agents that are to be asked now."""
+        if now - self._asked_at < ASK_PERIOD:
+            return []
+        late = self._list_silent(ASK_DELAY, now)
+        if late:
+            self._asked_at = now
+        return [item.address for item in late]
+
+    def _list_silent(
+        self, limit: datetime.timedelta, now: datetime.timedelta
+    ) -> list[model.TargetAnnouncement]:
         return [
             item
-            for item in watched
-            if now - self._heard[item.agent] >= SILENCE_LIMIT
+            for item in self._watched
+            if now - self._heard[item.agent] >= limit
         ]
 
     def _forgive_own_pause(self, now: datetime.timedelta) -> None:
@@ -56,16 +80,6 @@
         if last is not None and now - last >= HEARTBEAT_PERIOD:
             self._heard = dict.fromkeys(self._heard, now)
 
-    def _list_ring(
-        self, visible: tuple[model.TargetAnnouncement, ...]
-    ) -> list[model.TargetAnnouncement]:
-        """Return the other agents, beginning after this one."""
-        others = sorted(
-            (item for item in visible if item.agent != self._name),
-            key=lambda item: (item.agent < self._name, item.agent),
-        )
-        return others
-
 
 def make_suspicion(
     announcement: model.TargetAnnouncement, observer: str
