Accept PROXY headers from the senders in the settings only

Answers go to the latest sender of a valid header, so any process that can reach the ingress could divert the answers of all callers.

The setting ingress.senders names the hosts whose headers are accepted; others are dropped and counted as untrusted_sender. It is empty by default, which accepts all. Ruled out: accepting only the address in ingress.fabric, as a fabric may send from several. Also counts announced targets, and logs a configuration only when its version is new.

Check: with the condition removed, the new test of an unknown sender fails. Tests of a moved service address and of port 0 in a header are added, as copies of the code with these checks removed had passed all tests.

--- a/src/egretfork/entry/core.py
+++ b/src/egretfork/entry/core.py
@@ -47,9 +47,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatagramRejected:
-    """A datagram could not be read as what it should be."""
+    """A datagram was refused before its content was known."""
 
-    failure: reasons.Failure
+    reason: reasons.Drop
 
 
 Event = (
@@ -92,7 +92,7 @@
             case AnnouncementsChanged():
                 self._table.set_announcements(event.announcements)
             case DatagramRejected():
-                return [actions.CountReason(reasons.Drop.MALFORMED)]
+                return [actions.CountReason(event.reason)]
         return []
 
     def _forward(self, datagram: CallerDatagram) -> Action:
--- a/src/egretfork/entry/ingress.py
+++ b/src/egretfork/entry/ingress.py
@@ -36,7 +36,9 @@
     """Receives datagrams with a PROXY protocol version 2 header.
 
     Answers go to the latest sender of a valid header, with the header of
-    the flow. Before there is one, answers are dropped.
+    the flow. Before there is one, answers are dropped. The PROXY protocol
+    (section 2) demands that headers be accepted from known senders only:
+    another sender could pose as any caller and divert the answers.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         address: model.Endpoint,
         handler: Handler,
         fabric: model.Endpoint | None = None,
+        senders: frozenset[str] = frozenset(),
     ) -> None:
         """Create the ingress.
 
@@ -51,9 +54,11 @@
             address: UDP address on which the fabric delivers.
             handler: receives each datagram.
             fabric: where answers go before a datagram has arrived.
+            senders: hosts whose headers are accepted; empty for all.
         """
         self._handler = handler
         self._fabric = fabric
+        self._senders = senders
         self._socket = datagrams.DatagramService(address, self._receive)
 
     @property
@@ -74,9 +79,13 @@
         return True
 
     def _receive(self, data: bytes, sender: model.Endpoint) -> None:
+        if self._senders and sender.host not in self._senders:
+            rejected = core.DatagramRejected(reasons.Drop.UNTRUSTED_SENDER)
+            self._handler(rejected)
+            return
         result = proxy.decode(data, sender.host)
         if isinstance(result, reasons.Failure):
-            self._handler(core.DatagramRejected(result))
+            self._handler(core.DatagramRejected(reasons.Drop.MALFORMED))
             return
         self._fabric = sender
         flow, payload = result
--- a/src/egretfork/entry/program.py
+++ b/src/egretfork/entry/program.py
@@ -38,14 +38,19 @@
         listen: UDP address on which the fabric delivers.
         fabric: where answers go before the first datagram has arrived;
             afterwards they go to the latest sender.
+        senders: IPv4 addresses from which headers are accepted; without
+            any, headers are accepted from everywhere.
     """
 
     listen: str
     fabric: str | None = None
+    senders: tuple[str, ...] = ()
 
     def __post_init__(self) -> None:
         """Check the addresses."""
         settings.check_endpoint(self.listen, "ingress.listen")
+        for index, host in enumerate(self.senders):
+            settings.check_host(host, f"ingress.senders[{index}]")
         if self.fabric is not None:
             settings.check_endpoint(self.fabric, "ingress.fabric")
 
@@ -100,6 +105,7 @@
                 model.parse_endpoint(chosen.listen),
                 handler,
                 model.parse_endpoint(chosen.fabric) if chosen.fabric else None,
+                frozenset(chosen.senders),
             )
         case DirectSettings():
             return ingress.DirectIngress(
--- a/src/egretfork/entry/shell.py
+++ b/src/egretfork/entry/shell.py
@@ -83,8 +83,11 @@
     def _change_configuration(
         self, configuration: model.Configuration
     ) -> None:
+        earlier = self._core.configuration.version
         self._handle(core.ConfigurationChanged(configuration))
         version = self._core.configuration.version
+        if version == earlier:
+            return
         self._registry.set_gauge(
             "configuration_version", "Configuration in force.", version
         )
@@ -99,11 +102,14 @@
         self, announcements: tuple[model.TargetAnnouncement, ...]
     ) -> None:
         self._handle(core.AnnouncementsChanged(announcements))
+        self._registry.set_gauge(
+            "announced_targets", "Targets announced.", len(announcements)
+        )
 
     def _receive(self, data: bytes, peer: model.Endpoint) -> None:
         message = wire.decode(data, peer.host)
         if isinstance(message, reasons.Failure):
-            self._handle(core.DatagramRejected(message))
+            self._handle(core.DatagramRejected(reasons.Drop.MALFORMED))
             return
         self._handle(core.MessageReceived(peer, message))
 
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -9,6 +9,7 @@
 
     UNKNOWN_ADDRESS = "unknown_address"
     MALFORMED = "malformed"
+    UNTRUSTED_SENDER = "untrusted_sender"
     NO_CONFIGURATION = "no_configuration"
     NO_TARGETS = "no_targets"
     WRONG_SERVICE = "wrong_service"
--- a/src/egretfork/settings.py
+++ b/src/egretfork/settings.py
@@ -1,5 +1,6 @@
 """YAML settings of the programs, checked as a whole before use."""
 
+import ipaddress
 import pathlib
 import typing
 
@@ -99,3 +100,15 @@
         return model.parse_endpoint(text)
     except ValueError as error:
         raise ValueError(f"{error} - at `$.{field}`") from error
+
+
+def check_host(text: str, field: str) -> None:
+    """Check an IPv4 address of a setting.
+
+    Raises:
+        ValueError: names the field and the expected form.
+    """
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError as error:
+        raise ValueError(f"{error} - at `$.{field}`") from error
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -129,6 +129,19 @@
         handle(entry, core.ConfigurationChanged(configure(2, {})))
         self.assertEqual(entry.configuration.version, 3)
 
+    def test_newer_configuration_moves_a_service(self) -> None:
+        # Guards against a service address that stays in force.
+        entry = build_ready_core(AGENT)
+        moved = model.Endpoint("10.0.0.2", 5683)
+        newer = configure(4, {"hatlog": (str(moved),)})
+        handle(entry, core.ConfigurationChanged(newer))
+        for address, kind in (
+            (SERVICE, actions.CountReason),
+            (moved, actions.SendMessage),
+        ):
+            datagram = core.CallerDatagram(wire.FlowKey(CALLER, address), PING)
+            self.assertIsInstance(handle(entry, datagram)[0], kind)
+
     @hypothesis.given(strategies.data())
     @hypothesis.settings(max_examples=200)
     def test_agent_of_another_service_never_gets_a_datagram(
@@ -220,7 +233,8 @@
         intact = encode(b"")
         damaged = bytearray(intact)
         damaged[position] ^= change
-        for data in (bytes(damaged), intact[:length], noise):
+        portless = intact[:-2] + bytes(2)
+        for data in (bytes(damaged), intact[:length], noise, portless):
             result = proxy.decode(data, "peer")
             self.assertIsInstance(result, reasons.Failure)
 
@@ -288,58 +302,75 @@
 
 
 class ShellTest(unittest.IsolatedAsyncioTestCase):
-    async def exchange(
-        self,
-        service: model.Endpoint,
-        build: shell.IngressFactory,
-        data: bytes,
-        destination: model.Endpoint,
-    ) -> tuple[wire.Forwarded, bytes, tuple[str, int], model.Endpoint]:
-        """Send a datagram through an entry and return an answer."""
-        agent, caller = open_socket(), open_socket()
-        self.addCleanup(agent.close)
-        self.addCleanup(caller.close)
-        registry = metrics.Metrics()
-        agent_address = model.Endpoint(*agent.getsockname())
-        entry = shell.EntryService(
+    async def start_entry(
+        self, service: model.Endpoint, build: shell.IngressFactory
+    ) -> None:
+        """Start an entry with one caller and one agent around it."""
+        self.agent, self.caller = open_socket(), open_socket()
+        self.addCleanup(self.agent.close)
+        self.addCleanup(self.caller.close)
+        self.registry = metrics.Metrics()
+        agent_address = model.Endpoint(*self.agent.getsockname())
+
+        self.entry = shell.EntryService(
             find_free_endpoint(),
             build,
             lambda on_configuration, on_announcements: FakeSource(
                 on_configuration, on_announcements, service, agent_address
             ),
-            registry,
+            self.registry,
             clock.MonotonicClock(),
         )
-        await entry.start()
-        try:
-            caller.sendto(b"damage", destination_of(destination))
-            caller.sendto(data, destination_of(destination))
-            received = await asyncio.to_thread(agent.recv, 65535)
-            message = wire.decode(received, "entry")
-            assert isinstance(message, wire.Forwarded)
-            answer = wire.encode(wire.Returned(message.flow, b"answer"))
-            agent.sendto(answer, destination_of(message.entry))
-            reply, source = await asyncio.to_thread(caller.recvfrom, 65535)
-        finally:
-            await entry.stop()
-        dropped = registry.registry.get_sample_value(
-            "egretfork_reasons_total",
-            {"category": "drop", "reason": reasons.Drop.MALFORMED},
+        await self.entry.start()
+        self.addAsyncCleanup(self.stop_entry)
+
+    async def stop_entry(self) -> None:
+        await self.entry.stop()
+
+    async def exchange(
+        self, data: bytes, destination: model.Endpoint
+    ) -> tuple[wire.Forwarded, bytes, tuple[str, int]]:
+        """Send a datagram through the entry and return an answer."""
+        self.caller.sendto(data, destination_of(destination))
+        received = await asyncio.to_thread(self.agent.recv, 65535)
+        message = wire.decode(received, "entry")
+        assert isinstance(message, wire.Forwarded)
+        answer = wire.encode(wire.Returned(message.flow, b"answer"))
+        self.agent.sendto(answer, destination_of(message.entry))
+        reply = await asyncio.to_thread(self.caller.recvfrom, 65535)
+        return message, *reply
+
+    def count(self, reason: reasons.Drop) -> float | None:
+        return self.registry.registry.get_sample_value(
+            "egretfork_reasons_total", {"category": "drop", "reason": reason}
         )
-        self.assertEqual(dropped, 1)
-        return message, reply, source, model.Endpoint(*caller.getsockname())
 
     async def test_proxy_header_returns_to_its_sender(self) -> None:
         listen = find_free_endpoint()
-        message, reply, source, _ = await self.exchange(
-            SERVICE,
-            lambda handler: ingress.ProxyIngress(listen, handler),
-            encode(PING),
-            listen,
+        await self.start_entry(
+            SERVICE, lambda handler: ingress.ProxyIngress(listen, handler)
         )
+        self.caller.sendto(b"damage", destination_of(listen))
+        message, reply, source = await self.exchange(encode(PING), listen)
         self.assertEqual(message.flow, FLOW)
         self.assertEqual(proxy.decode(reply, "entry"), (FLOW, b"answer"))
         self.assertEqual(source, destination_of(listen))
+        self.assertEqual(self.count(reasons.Drop.MALFORMED), 1)
+
+    async def test_header_of_an_unknown_sender_is_dropped(self) -> None:
+        # Guards against a caller that diverts all answers to itself.
+        listen = find_free_endpoint()
+        known = frozenset(("127.0.0.1",))
+        await self.start_entry(
+            SERVICE,
+            lambda handler: ingress.ProxyIngress(
+                listen, handler, senders=known
+            ),
+        )
+        with open_socket("127.0.0.9") as stranger:
+            stranger.sendto(encode(PING), destination_of(listen))
+        await self.exchange(encode(PING), listen)
+        self.assertEqual(self.count(reasons.Drop.UNTRUSTED_SENDER), 1)
 
     async def test_direct_answer_leaves_from_the_service_address(
         self,
@@ -347,12 +378,11 @@
         # Guards against answers from an address that callers do not expect.
         service = find_free_endpoint("127.0.0.7")
         listen = model.Endpoint(pktinfo.WILDCARD, service.port)
-        message, reply, source, caller = await self.exchange(
-            service,
-            lambda handler: ingress.DirectIngress((listen,), handler),
-            PING,
-            service,
+        await self.start_entry(
+            service, lambda handler: ingress.DirectIngress((listen,), handler)
         )
+        message, reply, source = await self.exchange(PING, service)
+        caller = model.Endpoint(*self.caller.getsockname())
         self.assertEqual(message.flow, wire.FlowKey(caller, service))
         self.assertEqual(reply, b"answer")
         self.assertEqual(source, destination_of(service))
