Let a stopping entry carry what is on its way

A planned stop closed the sockets at once; answers that agents had sent to the entry by then were lost until a retransmission.

A stopping entry leaves the other nodes first and carries datagrams for stop_delay_s more (1 s by default), so that the fabric can leave it out and answers still arrive.

Check: with the wait removed, test_stopping_entry_carries_what_is_on_its_way fails.

--- a/src/egretfork/entry/program.py
+++ b/src/egretfork/entry/program.py
@@ -1,5 +1,6 @@
 """Command ``egretfork-entry`` and its composition root."""
 
+import asyncio
 import functools
 import pathlib
 import random
@@ -84,11 +85,14 @@
         port: UDP port on ``host`` to which agents send answers.
         ingress: how callers' datagrams arrive.
         gossip: dissemination of configurations and announcements.
+        stop_delay_s: seconds for which a stopping entry still carries
+            datagrams; the fabric should leave it out by then.
     """
 
     port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
     ingress: ProxySettings | DirectSettings
     gossip: gossip_settings.GossipSettings
+    stop_delay_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
 
     def __post_init__(self) -> None:
         """Check the address of the process."""
@@ -125,6 +129,7 @@
         build_source,
         registry,
         clock.MonotonicClock(),
+        functools.partial(asyncio.sleep, chosen.stop_delay_s),
     )
     return (entry,)
 
--- a/src/egretfork/entry/shell.py
+++ b/src/egretfork/entry/shell.py
@@ -19,6 +19,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+Waiter = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
 
 class SourceFactory(typing.Protocol):
     """Builds the service that receives configurations and announcements."""
@@ -52,6 +54,7 @@
         build_source: SourceFactory,
         registry: metrics.Metrics,
         time_source: clock.Clock,
+        wait_before_stop: Waiter,
     ) -> None:
         """Create the service.
 
@@ -61,11 +64,14 @@
             build_source: creates the source of configurations.
             registry: counts drops.
             time_source: gives the time of events.
+            wait_before_stop: ends when a stopping entry may close its
+                sockets; until then it carries what is on its way.
         """
         super().__init__()
         self._core = core.EntryCore(address)
         self._registry = registry
         self._clock = time_source
+        self._wait_before_stop = wait_before_stop
         self._agents = datagrams.DatagramService(address, self._receive)
         self._ingress = build_ingress(self._handle)
         self._source = build_source(
@@ -80,6 +86,11 @@
         """
         return [self._agents, self._source, *self._ingress.get_services()]
 
+    async def on_stop(self) -> None:
+        """Leave the other nodes, then carry datagrams for a while."""
+        await self._source.stop()
+        await self._wait_before_stop()
+
     def _change_configuration(
         self, configuration: model.Configuration
     ) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -310,8 +310,12 @@
         self.addCleanup(self.agent.close)
         self.addCleanup(self.caller.close)
         self.registry = metrics.Metrics()
+        self.may_stop = asyncio.Event()
         agent_address = model.Endpoint(*self.agent.getsockname())
 
+        async def wait() -> None:
+            await self.may_stop.wait()
+
         self.entry = shell.EntryService(
             find_free_endpoint(),
             build,
@@ -320,11 +324,13 @@
             ),
             self.registry,
             clock.MonotonicClock(),
+            wait,
         )
         await self.entry.start()
         self.addAsyncCleanup(self.stop_entry)
 
     async def stop_entry(self) -> None:
+        self.may_stop.set()
         await self.entry.stop()
 
     async def exchange(
@@ -387,6 +393,20 @@
         self.assertEqual(reply, b"answer")
         self.assertEqual(source, destination_of(service))
 
+    async def test_stopping_entry_carries_what_is_on_its_way(self) -> None:
+        # Guards against answers that are lost when an entry is stopped.
+        listen = find_free_endpoint()
+        await self.start_entry(
+            SERVICE, lambda handler: ingress.ProxyIngress(listen, handler)
+        )
+        stopping = asyncio.create_task(self.entry.stop())
+        while not self.entry.should_stop:
+            await asyncio.sleep(0)
+        _, reply, _ = await self.exchange(encode(PING), listen)
+        self.assertEqual(proxy.decode(reply, "entry"), (FLOW, b"answer"))
+        self.may_stop.set()
+        await stopping
+
 
 def destination_of(endpoint: model.Endpoint) -> tuple[str, int]:
     return (endpoint.host, endpoint.port)
