--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -29,7 +29,6 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     UNHEALTHY = "unhealthy"
-    STOPPING = "stopping"
     MISSING_REQUEST_KEY = "missing_request_key"
     BAD_OPTION = "bad_option"
     SUPERSEDED = "superseded"
@@ -76,7 +75,6 @@
     TARGET_REFUSED = "target_refused"
     IDEMPOTENT_FAILURE = "idempotent_failure"
     BUDGET_EXHAUSTED = "budget_exhausted"
-    LEADER_CHANGED = "leader_changed"
 
 
 Reason = Drop | Refusal | Unknown | Retry | ControlRefusal
