Connect control to gossip and test groups against failures

Control polls the gossip service for the versions that entries confirmed (an entry confirms together with its agents), so agents are not counted on their own. A forgotten node is dropped from dissemination too.

The stateful test runs 1, 3 or 5 members in memory with loss, delay, one-way cuts, isolation, freezes, crashes that lose unsynced writes, failed writes, lost disks, changes of members, races and resends.

Found while reading: a refusal by a member with a failed disk ended a request whose earlier try might have been accepted; the client now asks the next member, and any other refusal after an uncertain try is reported as unknown. A group of one waited for an election timeout at start.

--- a/src/egretfork/client/session.py
+++ b/src/egretfork/client/session.py
@@ -73,7 +73,8 @@
         certainty = Certainty.NOT_DONE
         failure = _describe(target, "no reply")
         while time.monotonic() < deadline:
-            reply = ask_member(context, target, build(next(self._numbers)))
+            received = ask_member(context, target, build(next(self._numbers)))
+            reply = _convert_refusal(certainty, target, received)
             if not isinstance(
                 reply, reasons.Failure | api.Redirect | api.OutcomeUnknown
             ):
@@ -114,6 +115,23 @@
     )
 
 
+def _convert_refusal(
+    certainty: Certainty,
+    member: model.Endpoint,
+    reply: api.Reply | reasons.Failure,
+) -> api.Reply | NoResult | reasons.Failure:
+    """Return what a refusal means after the tries before it."""
+    if not isinstance(reply, api.QueryRefused):
+        return reply
+    if reply.reason is reasons.ControlRefusal.STORAGE_FAILED:
+        # Another member can still carry the query out.
+        return api.Redirect(reply.number, None)
+    if certainty is Certainty.UNKNOWN:
+        # An earlier try may have had the effect that is refused now.
+        return NoResult(certainty, _describe(member, reply.detail))
+    return reply
+
+
 def _weigh(
     certainty: Certainty,
     member: model.Endpoint,
--- a/src/egretfork/control/commands.py
+++ b/src/egretfork/control/commands.py
@@ -45,19 +45,17 @@
 
 
 class RegisterNodes(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Nodes and agents that confirm versions from here on.
+    """Nodes that have to confirm versions from here on.
 
     Attributes:
         seen: nodes with the version that each has confirmed.
-        left: agents that announced that they left.
     """
 
     seen: tuple["NodeVersion", ...]
-    left: tuple[str, ...] = ()
 
 
 class NodeVersion(msgspec.Struct, frozen=True, order=True, array_like=True):
-    """Configuration version that a node or agent has in force."""
+    """Configuration version that a node has in force."""
 
     node: str
     version: int
--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Confirmed:
-    """Versions that nodes and agents have in force."""
+    """Versions that nodes have in force."""
 
     confirmations: tuple[commands.NodeVersion, ...]
 
@@ -78,7 +78,14 @@
     configuration: model.Configuration
 
 
-CoreAction = events.Save | events.Send | Answer | Publish
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropNode:
+    """Stop the dissemination to a node that is gone for good."""
+
+    node: str
+
+
+CoreAction = events.Save | events.Send | Answer | Publish | DropNode
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,7 +148,6 @@
                 self._on_query(event, now)
             case Announced():
                 self._announcements = event.announcements
-                self._nodes.note_announcements(event.announcements)
             case Confirmed():
                 self._nodes.note_confirmations(event.confirmations)
             case _:
@@ -263,7 +269,7 @@
         if entry.command:
             command = commands.decode(entry.command)
             outcome = self._machine.apply(command)
-            self._note_applied(command, now)
+            self._note_applied(command, outcome, now)
         placed = [
             token
             for token, pending in self._pending.items()
@@ -273,11 +279,18 @@
             self._conclude(self._pending.pop(token), entry, outcome)
 
     def _note_applied(
-        self, command: commands.Command, now: datetime.timedelta
+        self,
+        command: commands.Command,
+        outcome: commands.Outcome | None,
+        now: datetime.timedelta,
     ) -> None:
-        if isinstance(command, commands.SetRecordGroups):
-            for group in command.groups:
-                self._groups.note_changed(group, now)
+        match command:
+            case commands.SetRecordGroups():
+                for group in command.groups:
+                    self._groups.note_changed(group, now)
+            case commands.ForgetNode() if outcome and not outcome.reason:
+                self._nodes.drop(command.node)
+                self._actions.append(DropNode(command.node))
 
     def _conclude(
         self,
--- a/src/egretfork/control/nodes.py
+++ b/src/egretfork/control/nodes.py
@@ -1,10 +1,13 @@
-"""Which nodes have confirmed which version, and what may be released."""
+"""Which nodes have confirmed which version, and what may be released.
+
+A node here is an entry, which confirms a version once it and the agents
+that subscribe to it have it.
+"""
 
 import datetime
 
 from egretfork.control import commands
 from egretfork.control import state
-from egretfork import model
 
 # A node that has just got a version is not known yet; it is registered
 # within this time, in which versions are in force everywhere.
@@ -16,7 +19,6 @@
 
     def __init__(self) -> None:
         self._confirmed: dict[str, int] = {}
-        self._left: frozenset[str] = frozenset()
         self._held_since: dict[commands.Quarantined, datetime.timedelta] = {}
 
     def note_confirmations(
@@ -27,18 +29,9 @@
             (item.node, item.version) for item in confirmations
         )
 
-    def note_announcements(
-        self, announcements: tuple[model.TargetAnnouncement, ...]
-    ) -> None:
-        """Note agents that are new and agents that left."""
-        states = {item.agent: item.state for item in announcements}
-        self._left = frozenset(
-            agent
-            for agent, state_ in states.items()
-            if state_ is model.TargetState.LEFT
-        )
-        for agent in states.keys() - self._left:
-            self._confirmed.setdefault(agent, 0)
+    def drop(self, node: str) -> None:
+        """Discard what is known of a node that was forgotten."""
+        self._confirmed.pop(node, None)
 
     def list_waiting(
         self, known: set[str], item: commands.Quarantined
@@ -58,13 +51,9 @@
             commands.NodeVersion(node, version)
             for node, version in sorted(self._confirmed.items())
             if node not in current.nodes
-            and node not in self._left
             and version > current.forgotten.get(node, -1)
         )
-        left = tuple(sorted(self._left & current.nodes))
-        if not seen and not left:
-            return None
-        return commands.RegisterNodes(seen, left)
+        return commands.RegisterNodes(seen) if seen else None
 
     def find_releases(
         self, current: state.State, now: datetime.timedelta
--- a/src/egretfork/control/program.py
+++ b/src/egretfork/control/program.py
@@ -1,5 +1,6 @@
 """Command ``egretfork-control``: composition root of a control process."""
 
+import logging
 import os
 import pathlib
 import random
@@ -8,10 +9,12 @@
 import typing
 
 import click
+import mode
 import msgspec
 
 import egretfork
 from egretfork import clock
+from egretfork.control import commands
 from egretfork.control import core
 from egretfork.control import entries
 from egretfork.control import files
@@ -19,12 +22,18 @@
 from egretfork.control import records
 from egretfork.control import shell
 from egretfork.control import storage
+from egretfork.gossip import messages
+from egretfork.gossip import settings as gossip_settings
+from egretfork.gossip import shell as gossip
+from egretfork import logs
 from egretfork import metrics
 from egretfork import model
 from egretfork import reasons
 from egretfork import runtime
 from egretfork import settings
 
+LOGGER = logging.getLogger(__name__)
+
 PROGRAM = "egretfork-control"
 IDENTITY_BYTES = 8
 
@@ -35,10 +44,12 @@
     Attributes:
         port: TCP port on ``host`` for members and clients.
         data_folder: folder of the log, vote and snapshot.
+        gossip: dissemination; without it configurations stay on the VM.
     """
 
     port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
     data_folder: str
+    gossip: gossip_settings.GossipSettings | None = None
 
     @property
     def address(self) -> model.Endpoint:
@@ -57,8 +68,40 @@
     def publish(self, configuration: model.Configuration) -> None:
         """Do nothing."""
 
+    def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
+        """Return nothing: there are no nodes."""
+        return ()
+
+    def drop(self, node: str) -> None:
+        """Do nothing."""
+
 
-def build(common: ControlSettings) -> shell.ControlService:
+class GossipDissemination:
+    """Dissemination by the gossip service."""
+
+    def __init__(self, service: gossip.GossipService) -> None:
+        self._service = service
+
+    def publish(self, configuration: model.Configuration) -> None:
+        """Spread a configuration that is committed."""
+        self._service.publish(configuration)
+
+    def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
+        """Return the version that each entry surely has in force."""
+        return tuple(
+            commands.NodeVersion(item.name, item.version)
+            for item in self._service.confirmed_versions()
+            if item.role is messages.Role.ENTRY
+        )
+
+    def drop(self, node: str) -> None:
+        """Stop spreading to an entry that is gone for good."""
+        self._service.forget(node)
+
+
+def build(
+    common: ControlSettings, registry: metrics.Metrics
+) -> tuple[mode.Service, ...]:
     """Read the data folder and connect the parts.
 
     Raises:
@@ -67,23 +110,69 @@
     """
     files.lock_folder(common.folder)
     stored = storage.Storage(files.LocalFileSystem(common.folder))
+    decisions = build_core(common.name, stored)
+    spread = build_gossip(
+        common,
+        registry,
+        lambda announcements: control.note_announcements(announcements),
+    )
+    control = shell.ControlService(
+        address=common.address,
+        decisions=decisions,
+        files=stored,
+        dissemination=(
+            GossipDissemination(spread) if spread else NoDissemination()
+        ),
+        time=clock.MonotonicClock(),
+        registry=registry,
+    )
+    return (spread, control) if spread else (control,)
+
+
+def build_core(name: str, stored: storage.Storage) -> core.ControlCore:
+    """Create the decisions of a process from its data folder.
+
+    Raises:
+        records.DamageError: a file is missing or damaged.
+        OSError: a file cannot be read.
+    """
     loaded = stored.load()
-    time = clock.MonotonicClock()
+    if loaded.torn_bytes:
+        LOGGER.warning(
+            "torn_record_removed",
+            extra={"step": "load", "detail": f"{loaded.torn_bytes} bytes"},
+        )
     consensus = raft.Raft(
         identity=loaded.identity,
         vote=loaded.vote,
         held=loaded.log,
         sequence=loaded.sequence,
         seed=random.Random(secrets.randbits(64)),
-        now=time.now(),
+        now=clock.MonotonicClock().now(),
     )
-    return shell.ControlService(
-        address=common.address,
-        decisions=core.ControlCore(common.name, consensus),
-        files=stored,
-        dissemination=NoDissemination(),
-        time=time,
-        registry=metrics.Metrics(),
+    return core.ControlCore(name, consensus)
+
+
+def build_gossip(
+    common: ControlSettings,
+    registry: metrics.Metrics,
+    on_announcements: gossip.AnnouncementsCallback,
+) -> gossip.GossipService | None:
+    """Create the dissemination service if the settings name one."""
+    if common.gossip is None:
+        return None
+    return gossip.GossipService(
+        name=common.name,
+        availability_zone=common.availability_zone,
+        host=common.host,
+        incarnation=clock.read_wall_clock_ms(),
+        role=messages.Role.CONTROL,
+        options=common.gossip,
+        time_source=clock.MonotonicClock(),
+        registry=registry,
+        generator=random.Random(),
+        on_configuration=lambda configuration: None,
+        on_announcements=on_announcements,
     )
 
 
@@ -139,12 +228,14 @@
 
 def run(common: ControlSettings) -> None:
     """Run until a signal arrives, then exit the process."""
+    logs.configure(PROGRAM, common.name, common.log_level)
+    registry = metrics.Metrics()
     try:
-        service = build(common)
+        services = build(common, registry)
     except (records.DamageError, OSError) as error:
         click.echo(f"start from {common.folder} failed: {error}", err=True)
         sys.exit(1)
-    runtime.run(PROGRAM, common, service.registry, (service,))
+    runtime.run(PROGRAM, common, registry, services)
 
 
 @main.command("init")
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -24,6 +24,7 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=50)
+CONFIRMATIONS_PERIOD_S = 1.0
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 SEND_QUEUE_MESSAGES = 256
 RECONNECT_MS = 100
@@ -39,6 +40,12 @@
     def publish(self, configuration: model.Configuration) -> None:
         """Spread a configuration that is committed."""
 
+    def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
+        """Return the version that each entry surely has in force."""
+
+    def drop(self, node: str) -> None:
+        """Stop spreading to an entry that is gone for good."""
+
 
 class ControlService(mode.Service):
     """Serves members and clients on one TCP address."""
@@ -99,18 +106,18 @@
         """Take the newest announcements from the gossip service."""
         self._handle(core.Announced(announcements))
 
-    def note_confirmations(
-        self, confirmations: tuple[commands.NodeVersion, ...]
-    ) -> None:
-        """Take the versions that nodes have in force from gossip."""
-        self._handle(core.Confirmed(confirmations))
-
     @mode.Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
             self._handle(events.Tick())
             await asyncio.sleep(TICK.total_seconds())
 
+    @mode.Service.timer(CONFIRMATIONS_PERIOD_S)
+    async def _read_confirmations(self) -> None:
+        confirmations = self._dissemination.list_confirmations()
+        if confirmations:
+            self._handle(core.Confirmed(confirmations))
+
     @mode.Service.task
     async def _receive(self) -> None:
         router = self._router
@@ -168,6 +175,8 @@
                 self._answer(action)
             case core.Publish():
                 self._dissemination.publish(action.configuration)
+            case core.DropNode():
+                self._dissemination.drop(action.node)
             case _:
                 self._files.save(action)
 
--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -26,7 +26,7 @@
         applied: the newest outcomes by request identity, oldest first.
         groups: newest record group of each service that ever had one.
         quarantine: released addresses by address.
-        nodes: names of the nodes and agents that have to confirm versions.
+        nodes: names of the entries that have to confirm versions.
         forgotten: newest version when an operator gave up on a node.
     """
 
@@ -258,7 +258,6 @@
                 continue
             self.state.forgotten.pop(item.node, None)
             self.state.nodes.add(item.node)
-        self.state.nodes.difference_update(command.left)
 
     def _release(self, command: commands.ReleaseAddresses) -> None:
         for item in command.released:
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -67,6 +67,8 @@
         self._election_at = now
         self._actions: list[events.Action] = []
         self._delay_election()
+        if entries.list_voters(held.members) == {identity}:
+            self._election_at = now
 
     @property
     def term(self) -> int:
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,425 @@
+"""Control members in memory, with a network and disks that fail."""
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from egretfork.control import api
+from egretfork.control import commands
+from egretfork.control import core
+from egretfork.control import entries
+from egretfork.control import events
+from egretfork.control import log
+from egretfork.control import raft
+from egretfork.control import storage
+from egretfork import model
+from tests.control import fakes
+
+STEP = datetime.timedelta(milliseconds=50)
+DELAY_MAX_MS = 40
+
+
+class Oracle:
+    """What operators and nodes may see, and nothing else."""
+
+    def __init__(self) -> None:
+        self.submitted: dict[str, commands.OperatorCommand] = {}
+        self.outcomes: dict[str, commands.Outcome] = {}
+        self.accepted: dict[int, str] = {}
+        self.published: dict[int, tuple[model.Service, ...]] = {0: ()}
+
+    def note_outcome(self, outcome: commands.Outcome) -> None:
+        """Check an answer against all answers before it."""
+        known = self.outcomes.setdefault(outcome.request_id, outcome)
+        assert known == outcome, f"two answers: {known} and {outcome}"
+        command = self.submitted[outcome.request_id]
+        if outcome.reason or not isinstance(command, commands.Apply):
+            return
+        assert outcome.version == command.base_version + 1
+        holder = self.accepted.setdefault(outcome.version, outcome.request_id)
+        assert holder == outcome.request_id, f"two versions: {outcome}"
+        self._note_content(outcome.version, command.services)
+
+    def _note_content(
+        self, version: int, services: tuple[model.Service, ...]
+    ) -> None:
+        ordered = tuple(sorted(services, key=lambda item: item.name))
+        known = self.published.setdefault(version, ordered)
+        assert known == ordered, f"version {version} has two contents"
+
+    def note_published(self, configuration: model.Configuration) -> None:
+        """Check a configuration that a member puts in force."""
+        self._note_content(configuration.version, configuration.services)
+
+
+@dataclasses.dataclass(slots=True)
+class FakeMember:
+    """One control process and its disk."""
+
+    name: str
+    identity: str
+    address: model.Endpoint
+    disk: fakes.FakeFileSystem
+    decisions: core.ControlCore | None = None
+    files: storage.Storage | None = None
+    frozen_until: datetime.timedelta = datetime.timedelta()
+    waiting: list[core.CoreEvent] = dataclasses.field(default_factory=list)
+    published: model.Configuration = model.Configuration()
+    lost: bool = False
+
+    @property
+    def is_up(self) -> bool:
+        return self.decisions is not None
+
+    @property
+    def is_leader(self) -> bool:
+        return bool(
+            self.decisions and self.decisions.consensus.leading is not None
+        )
+
+
+class Cluster:
+    """Members, their network and the time."""
+
+    def __init__(self, seed: int, compact_after_entries: int = 25) -> None:
+        self.generator = random.Random(seed)
+        self.now = datetime.timedelta()
+        self.oracle = Oracle()
+        self.members: list[FakeMember] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.replies: dict[bytes, api.Reply] = {}
+        self._compact_after_entries = compact_after_entries
+        self._queue: list[tuple[datetime.timedelta, int, bytes]] = []
+        self._numbers = itertools.count(1)
+
+    # Members
+
+    def add_member(self, *, first: bool = False) -> FakeMember:
+        """Create a data folder and start a member."""
+        number = next(self._numbers)
+        member = FakeMember(
+            name=f"m{number}",
+            identity=f"id{number}",
+            address=model.Endpoint("127.0.0.1", 1000 + number),
+            disk=fakes.FakeFileSystem(),
+        )
+        described = self.describe(member)
+        voter = msgspec.structs.replace(described, voter=True)
+        storage.Storage(member.disk).initialise(
+            storage.StoredIdentity(member.identity, member.name),
+            (voter,) if first else (),
+        )
+        self.members.append(member)
+        self.start(member)
+        return member
+
+    def describe(self, member: FakeMember) -> entries.Member:
+        return entries.Member(
+            member.identity, member.name, member.address, voter=False
+        )
+
+    def start(self, member: FakeMember) -> None:
+        """Start a member from its disk."""
+        member.disk.failures = 0
+        member.files = storage.Storage(member.disk)
+        loaded = member.files.load()
+        member.published = model.Configuration()
+        member.waiting.clear()
+        member.decisions = core.ControlCore(
+            member.name, self.build_raft(loaded), self._compact_after_entries
+        )
+        self._publish(member, member.decisions.configuration)
+
+    def build_raft(self, loaded: storage.Loaded) -> raft.Raft:
+        """Build the consensus core; a check of the tests replaces this."""
+        held: log.Log = loaded.log
+        return raft.Raft(
+            identity=loaded.identity,
+            vote=loaded.vote,
+            held=held,
+            sequence=loaded.sequence,
+            seed=self.generator,
+            now=self.now,
+        )
+
+    def read_log(self, member: FakeMember) -> log.Log:
+        """Return the log of a member that is up or has stopped."""
+        if member.decisions is not None:
+            return member.decisions.consensus.log
+        return storage.Storage(member.disk.copy()).load().log
+
+    def crash(self, member: FakeMember) -> None:
+        """End a member and lose what it had not synced."""
+        member.decisions = None
+        member.disk.failures = 0
+        member.disk.crash(self.generator)
+
+    def find_leader(self) -> FakeMember | None:
+        """Return the leader of the highest term."""
+        leaders = [member for member in self.members if member.is_leader]
+        return max(
+            leaders,
+            key=lambda item: item.decisions.consensus.term,  # type: ignore
+            default=None,
+        )
+
+    # Events
+
+    def ask(self, member: FakeMember, query: api.Query) -> bytes:
+        """Send a query to a member and return the client's number."""
+        client = str(next(self._numbers)).encode()
+        if isinstance(query, api.Submit):
+            request_id = query.command.request_id
+            self.oracle.submitted.setdefault(request_id, query.command)
+        self._deliver(member, core.QueryReceived(client, query))
+        return client
+
+    def run(self, duration: datetime.timedelta) -> None:
+        """Let time pass."""
+        end = self.now + duration
+        while self.now < end:
+            self.now += STEP
+            while self._queue and self._queue[0][0] <= self.now:
+                self._receive(heapq.heappop(self._queue)[2])
+            for member in self.members:
+                self._deliver(member, events.Tick())
+
+    def run_until(
+        self,
+        condition: collections.abc.Callable[[], bool],
+        limit_s: int = 60,
+    ) -> None:
+        """Let time pass until a condition holds."""
+        end = self.now + datetime.timedelta(seconds=limit_s)
+        while not condition():
+            assert self.now < end, "the state waited for did not come"
+            self.run(STEP)
+
+    def _receive(self, data: bytes) -> None:
+        envelope = api.decode_incoming(data, "")
+        assert isinstance(envelope, entries.Envelope)
+        receiver = next(
+            item for item in self.members if item.identity == envelope.receiver
+        )
+        event = events.Received(
+            envelope.sender, envelope.sequence, envelope.message
+        )
+        self._deliver(receiver, event)
+
+    def _deliver(self, member: FakeMember, event: core.CoreEvent) -> None:
+        if not member.is_up:
+            return
+        if self.now < member.frozen_until:
+            if not isinstance(event, events.Tick):
+                member.waiting.append(event)
+            return
+        waiting, member.waiting = member.waiting, []
+        for item in (*waiting, event):
+            self._handle(member, item)
+
+    def _handle(self, member: FakeMember, event: core.CoreEvent) -> None:
+        assert member.decisions is not None and member.files is not None
+        actions = member.decisions.handle(event, self.now)
+        try:
+            for action in actions:
+                self._carry_out(member, member.files, action)
+        except storage.StorageError as error:
+            self._handle(member, core.SaveFailed(str(error)))
+
+    def _carry_out(
+        self,
+        member: FakeMember,
+        files: storage.Storage,
+        action: core.CoreAction,
+    ) -> None:
+        match action:
+            case events.Send():
+                self._post(member, files.sequence, action)
+            case core.Answer():
+                self._note_reply(action)
+            case core.Publish():
+                self._publish(member, action.configuration)
+            case core.DropNode():
+                pass
+            case _:
+                files.save(action)
+
+    def _note_reply(self, action: core.Answer) -> None:
+        self.replies[action.client] = action.reply
+        if isinstance(action.reply, api.Concluded):
+            self.oracle.note_outcome(action.reply.outcome)
+
+    def _publish(
+        self, member: FakeMember, configuration: model.Configuration
+    ) -> None:
+        assert configuration.version >= member.published.version
+        member.published = configuration
+        self.oracle.note_published(configuration)
+
+    def _post(
+        self, member: FakeMember, sequence: int, action: events.Send
+    ) -> None:
+        if (member.identity, action.receiver) in self.cuts:
+            return
+        if self.generator.random() < self.loss:
+            return
+        envelope = entries.Envelope(
+            member.identity,
+            action.receiver,
+            member.address,
+            sequence,
+            action.message,
+        )
+        delay_ms = self.generator.uniform(1, DELAY_MAX_MS)
+        at = self.now + datetime.timedelta(milliseconds=delay_ms)
+        item = (at, next(self._numbers), api.encode(envelope))
+        heapq.heappush(self._queue, item)
+
+    # Operators
+
+    def build_services(self, text: str) -> tuple[model.Service, ...]:
+        """Return services whose content tells versions apart."""
+        return tuple(
+            model.Service(
+                name=f"service-{number}",
+                addresses=(f"127.0.0.{number}:5683",),
+                targets=(f"{text}-*",),
+            )
+            for number in (1, 2)
+        )
+
+    def apply(
+        self, member: FakeMember, request_id: str, base_version: int
+    ) -> bytes:
+        """Submit new services to a member."""
+        command = commands.Apply(
+            request_id=request_id,
+            base_version=base_version,
+            author="operator",
+            submitted_ms=0,
+            services=self.build_services(request_id),
+        )
+        return self.ask(member, api.Submit(1, command))
+
+    def resend(self, member: FakeMember, request_id: str) -> bytes:
+        """Submit a command again."""
+        command = self.oracle.submitted[request_id]
+        return self.ask(member, api.Submit(1, command))
+
+    # Repair and final checks
+
+    def heal(self) -> None:
+        """End all failures; members that stopped start again."""
+        self.cuts.clear()
+        self.loss = 0.0
+        for member in self.members:
+            member.frozen_until = self.now
+            member.disk.failures = 0
+            if member.lost:
+                continue
+            if member.files is not None and member.files.failure:
+                self.crash(member)
+            if not member.is_up:
+                self.start(member)
+
+    def list_active(self) -> list[FakeMember]:
+        """Return the members that the leader replicates to, and itself."""
+        leader = self.find_leader()
+        if leader is None or leader.decisions is None:
+            return []
+        known = entries.list_identities(leader.decisions.consensus.log.members)
+        return [
+            member
+            for member in self.members
+            if member.identity in known and member.is_up and not member.lost
+        ]
+
+    def has_converged(self) -> bool:
+        """Return whether all active members are at the leader's commit."""
+        active = self.list_active()
+        commits = {
+            (
+                member.decisions.consensus.commit,
+                member.decisions.consensus.log.last_index,
+            )
+            for member in active
+            if member.decisions
+        }
+        return len(commits) == 1 and all(
+            commit == last for commit, last in commits
+        )
+
+    def check_final(self) -> None:
+        """Heal, wait until all agree and compare with what was answered."""
+        self.heal()
+        self.run_until(self.has_converged)
+        states = [
+            member.decisions.machine.state
+            for member in self.list_active()
+            if member.decisions
+        ]
+        for state in states:
+            assert state == states[0]
+            self._check_state(state.version, state.services)
+        self._check_history(states[0].applied.values())
+
+    def _check_state(
+        self, version: int, services: tuple[model.Service, ...]
+    ) -> None:
+        newest = max(self.oracle.accepted, default=0)
+        assert version >= newest, f"accepted version {newest} is lost"
+        assert version == max(self.oracle.published)
+        assert self.oracle.published[version] == services
+
+    def _check_history(
+        self, applied: collections.abc.Iterable["object"]
+    ) -> None:
+        kept = [item.outcome for item in applied]  # type: ignore
+        versions = collections.Counter(
+            outcome.version
+            for outcome in kept
+            if not outcome.reason and outcome.action == "apply"
+        )
+        assert all(count == 1 for count in versions.values())
+        for outcome in kept:
+            self.oracle.note_outcome(outcome)
+        kept_ids = {outcome.request_id for outcome in kept}
+        missing = self.oracle.outcomes.keys() - kept_ids
+        assert not missing or len(kept) == 1024, f"lost: {missing}"
+
+
+def build_group(cluster: Cluster, size: int) -> list[FakeMember]:
+    """Start a first group and add members until it has its size."""
+    first = cluster.add_member(first=True)
+    cluster.run_until(lambda: first.is_leader)
+    for _ in range(size - 1):
+        join(cluster, cluster.add_member())
+    return list(cluster.members)
+
+
+def join(cluster: Cluster, member: FakeMember) -> None:
+    """Add a learner, wait until it has caught up and promote it."""
+    new = cluster.describe(member)
+    change(cluster, api.AddMember(1, new))
+    change(cluster, api.PromoteMember(1, member.identity))
+
+
+def change(cluster: Cluster, query: api.Query) -> None:
+    """Repeat a change of members until it is committed."""
+
+    def is_done() -> bool:
+        leader = cluster.find_leader()
+        if leader is None:
+            return False
+        client = cluster.ask(leader, query)
+        cluster.run(3 * STEP)
+        return isinstance(cluster.replies.get(client), api.MembersChanged)
+
+    cluster.run_until(is_done)
