--- a/src/egretfork/demo.py
+++ b/src/egretfork/demo.py
@@ -34,6 +34,7 @@
 STEP_S = 3.0
 FABRIC_DETECTION_S = 1.0
 MAX_PROBLEMS = 20
+READY_LOG = '"detail": "ready"'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -325,7 +326,9 @@
         self._control_client("apply", path)
 
     def wait_until_served(self) -> None:
-        """Wait until a caller of each service gets its answer."""
+        """Wait until all targets are ready and callers get answers."""
+        if not processes.wait_for(self._are_targets_ready, START_TIMEOUT_S):
+            raise RuntimeError("not all targets became ready")
         deadline = time.monotonic() + START_TIMEOUT_S
         for service in SERVICES:
             while True:
@@ -335,6 +338,10 @@
                 if time.monotonic() > deadline:
                     raise RuntimeError(f"{service.name} is not served")
 
+    def _are_targets_ready(self) -> bool:
+        logs = self._folder.glob("agent-*.log")
+        return all(READY_LOG in path.read_text() for path in logs)
+
     def _probe(self, service: str) -> dict[str, int]:
         path = self._folder / "probe.json"
         self._run_callers((service,), 1, 0.5, path).wait()
