Send unacknowledged notifications through other entries

Cause: a notification replaces the one before it (RFC 7641, 4.5.2), and each was sent through the entry that delivered the caller's latest datagram. With a feed of 0.5 s and a retransmission timeout of 2 s no retransmission took place, so after the death of that entry a session heard nothing until its caller sent something.

Ruled out: loss in the fabric (it withdraws the entry after 1 s) and the retransmission path, which already takes other entries.

Conclusion: each notification without acknowledgement moves the next one to another entry; a session silent for 93 s (RFC 7252, 4.8.2) is ended, which retransmission did before.

--- a/src/egretfork/agent/flows.py
+++ b/src/egretfork/agent/flows.py
@@ -57,6 +57,8 @@
         sequence: value of the last Observe option sent.
         observation_id: number of the observation on the own target.
         message_id: last notification that is not acknowledged, or -1.
+        unacknowledged: notifications in a row without acknowledgement.
+        acknowledged_at: instant before which all were acknowledged.
     """
 
     token: bytes
@@ -64,6 +66,8 @@
     sequence: int
     observation_id: int
     message_id: int = -1
+    unacknowledged: int = 0
+    acknowledged_at: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/egretfork/agent/sessions.py
+++ b/src/egretfork/agent/sessions.py
@@ -21,6 +21,8 @@
 # new owner starts above any value that the old one can have reached.
 MOVE_SEQUENCE_STEP = 1024
 MOVE_MESSAGE_ID_STEP = 1024
+# RFC 7252 section 4.8.2: after this time an acknowledgement is not expected.
+MAX_TRANSMIT_WAIT = datetime.timedelta(seconds=93)
 
 
 class SessionServer:
@@ -142,8 +144,19 @@
         response: aiocoap.Message,
         now: datetime.timedelta,
     ) -> list[events.Signal]:
-        # Only the newest notification is retransmitted (RFC 7641, 4.5.2).
-        self._settle(serving.MessageKey(flow.key, session.message_id))
+        # Only the newest notification is retransmitted (RFC 7641, 4.5.2). A
+        # feed faster than the retransmission timeout would send each one
+        # through the latest entry for ever, even if that entry is dead.
+        waiting = self._settle(
+            serving.MessageKey(flow.key, session.message_id)
+        )
+        if not waiting:
+            session.unacknowledged = 0
+            session.acknowledged_at = now
+        elif now - session.acknowledged_at > MAX_TRANSMIT_WAIT:
+            return self.cancel(flow, session.token)
+        else:
+            session.unacknowledged += 1
         session.message_id = flow.take_message_id()
         message = coap.readdress(
             response, types.CON, session.message_id, session.token
@@ -152,7 +165,10 @@
         key = serving.MessageKey(flow.key, session.message_id)
         self._notifications.start(key, payload, now)
         self._tokens[key] = session.token
-        return screening.return_through(flow.entries, flow.key, payload)
+        chosen = self._status.entries.choose(
+            flow.entries, session.unacknowledged
+        )
+        return screening.return_through(chosen, flow.key, payload)
 
     def acknowledge(self, key: serving.MessageKey) -> bool:
         """Take the acknowledgement of a notification."""
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -43,6 +43,18 @@
         world.run(2)
         self.assertEqual({watch.value for watch in watches}, {1})
 
+    def test_a_fast_feed_does_not_stay_with_a_dead_entry(self) -> None:
+        # Guards against notifications that replace each other before the
+        # retransmission timeout and all go through the latest entry.
+        world = build_world()
+        watches = [world.add_caller().observe() for _ in range(30)]
+        world.run(2)
+        world.entries[0].alive = False
+        for _ in range(8):
+            world.publish()
+            world.run(0.5)
+        self.assertEqual({watch.value for watch in watches}, {8})
+
 
 if __name__ == "__main__":
     unittest.main()
