--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -26,6 +26,11 @@
         self._synced: dict[str, FakeFile] = {}
         self.failures = 0
         self.sync_works = True
+        self._successes: int | None = None
+
+    def fail_after(self, successes: int) -> None:
+        """Let all operations fail after a number of them."""
+        self._successes = successes
 
     def read(self, name: str) -> bytes | None:
         file = self._current.get(name)
@@ -62,6 +67,11 @@
             self._synced = dict(self._current)
 
     def _take_failure(self) -> bool:
+        if self._successes is not None:
+            self._successes -= 1
+            if self._successes < 0:
+                self._successes = None
+                self.failures = 1000
         if not self.failures:
             return False
         self.failures -= 1
@@ -69,6 +79,7 @@
 
     def crash(self, generator: random.Random) -> None:
         """Lose a random part of what was not synced."""
+        self._successes = None
         names = sorted(self._current.keys() | self._synced.keys())
         kept = (
             (name, generator.choice([self._current, self._synced]).get(name))
--- /dev/null
+++ b/tests/control/test_raft.py
@@ -0,0 +1,248 @@
+"""Each rule of the consensus core, in the case that needs it."""
+
+import datetime
+import random
+import unittest
+
+from egretfork.control import api
+from egretfork.control import entries
+from egretfork.control import events
+from egretfork.control import log
+from egretfork.control import raft
+from egretfork.control import storage
+from egretfork import model
+from egretfork import reasons
+from tests.control import cluster
+from tests.control import fakes
+
+SECOND = datetime.timedelta(seconds=1)
+ADDRESS = model.Endpoint("127.0.0.1", 1)
+VOTERS = tuple(entries.Member(name, name, ADDRESS, True) for name in "abc")
+
+
+def build_raft(loaded: storage.Loaded) -> raft.Raft:
+    core = raft.Raft(
+        loaded.identity,
+        loaded.vote,
+        loaded.log,
+        loaded.sequence,
+        random.Random(1),
+        datetime.timedelta(),
+    )
+    core.verified = True
+    return core
+
+
+def receive(
+    core: raft.Raft, sender: str, message: entries.PeerMessage, seconds: int
+) -> list[events.Action]:
+    return core.handle(events.Received(sender, 1, message), seconds * SECOND)
+
+
+class VoteTest(unittest.TestCase):
+    def test_vote_is_remembered_through_a_crash(self) -> None:
+        # Guards against two leaders of one term by two votes of a member.
+        disk = fakes.FakeFileSystem()
+        storage.Storage(disk).initialise(
+            storage.StoredIdentity("a", "a"), VOTERS
+        )
+        request = entries.VoteRequest(5, 0, 0, pre_vote=False)
+        for candidate, expected in (("b", True), ("c", False)):
+            files = storage.Storage(disk)
+            core = build_raft(files.load())
+            for action in receive(core, candidate, request, 5):
+                if isinstance(action, events.Send):
+                    reply = action.message
+                else:
+                    assert isinstance(action, events.SaveVote)
+                    files.save(action)
+            assert isinstance(reply, entries.VoteReply)
+            self.assertEqual(reply.granted, expected)
+            disk.crash(random.Random(1))
+
+
+class CommitRuleTest(unittest.TestCase):
+    def test_entry_of_an_earlier_term_is_not_committed_by_count(self) -> None:
+        # Guards against figure 8 of the Raft paper: an entry of an earlier
+        # term on a majority can still be replaced by another leader.
+        snapshot = entries.Snapshot(members=VOTERS)
+        held = log.Log(snapshot, (entries.Entry(1, 2, b"x"),))
+        vote = entries.Vote(3)
+        loaded = storage.Loaded("a", 1, vote, held, 0)
+        core = build_raft(loaded)
+        core.handle(events.Tick(), 9 * SECOND)
+        for pre_vote in (True, False):
+            receive(core, "b", entries.VoteReply(4, True, pre_vote), 9)
+        self.assertIsNotNone(core.leading)
+        receive(core, "b", entries.AppendReply(4, True, 1, 1), 9)
+        self.assertEqual(core.commit, 0)
+        receive(core, "b", entries.AppendReply(4, True, 2, 2), 9)
+        self.assertEqual(core.commit, 2)
+
+
+class GroupCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.group = cluster.Cluster(seed=3)
+        cluster.build_group(self.group, 3)
+        leader = self.group.find_leader()
+        assert leader is not None
+        self.leader = leader
+        self.others = [m for m in self.group.members if m is not leader]
+
+    def isolate(self, member: cluster.FakeMember) -> None:
+        own = member.identity
+        for other in self.group.members:
+            self.group.cuts.add((own, other.identity))
+            self.group.cuts.add((other.identity, own))
+
+    def get_raft(self, member: cluster.FakeMember) -> raft.Raft:
+        assert member.decisions is not None
+        return member.decisions.consensus
+
+    def accept(self, request_id: str, base_version: int) -> None:
+        leader = self.group.find_leader()
+        assert leader is not None
+        self.group.apply(leader, request_id, base_version)
+        self.group.run_until(
+            lambda: base_version + 1 in self.group.oracle.accepted
+        )
+
+
+class IsolationTest(GroupCase):
+    def test_member_returning_from_isolation_deposes_nobody(self) -> None:
+        # Guards against elections without pre-vote, in which an isolated
+        # member raises its term and deposes the leader on its return.
+        term = self.get_raft(self.leader).term
+        self.isolate(self.others[0])
+        self.group.run(60 * SECOND)
+        self.group.cuts.clear()
+        self.group.run(10 * SECOND)
+        self.assertTrue(self.leader.is_leader)
+        self.assertEqual(self.get_raft(self.leader).term, term)
+
+    def test_isolated_leader_answers_unknown_and_steps_down(self) -> None:
+        # Guards against a leader that keeps commands in flight for ever,
+        # or refuses one that the next leader may commit.
+        self.isolate(self.leader)
+        client = self.group.apply(self.leader, "one", 0)
+        self.group.run(10 * SECOND)
+        self.assertIsInstance(self.group.replies[client], api.OutcomeUnknown)
+        self.assertFalse(self.leader.is_leader)
+        late = self.group.resend(self.leader, "one")
+        self.assertIsInstance(self.group.replies[late], api.Redirect)
+
+    def test_isolated_leader_does_not_show_an_old_version(self) -> None:
+        # Guards against reads that a newer leader has made stale.
+        self.isolate(self.leader)
+        client = self.group.ask(self.leader, api.Show(1))
+        self.group.run(10 * SECOND)
+        self.assertIsInstance(self.group.replies[client], api.Redirect)
+
+    def test_commands_continue_without_the_isolated_leader(self) -> None:
+        self.isolate(self.leader)
+        self.group.run(10 * SECOND)
+        self.accept("one", 0)
+        self.group.check_final()
+
+
+class MembersTest(GroupCase):
+    def ask(self, query: api.Query) -> api.Reply:
+        client = self.group.ask(self.leader, query)
+        return self.group.replies[client]
+
+    def assert_refused(
+        self, query: api.Query, reason: reasons.ControlRefusal
+    ) -> None:
+        reply = self.ask(query)
+        assert isinstance(reply, api.QueryRefused), reply
+        self.assertEqual(reply.reason, reason)
+
+    def test_learner_that_is_behind_gets_no_vote(self) -> None:
+        # Guards against a quorum that depends on a member without entries.
+        new = self.group.add_member()
+        self.isolate(new)
+        described = self.group.describe(new)
+        self.group.ask(self.leader, api.AddMember(1, described))
+        self.group.run(SECOND)
+        self.assert_refused(
+            api.PromoteMember(1, new.identity),
+            reasons.ControlRefusal.MEMBER_NOT_CAUGHT_UP,
+        )
+
+    def test_two_changes_at_once_are_refused(self) -> None:
+        # Guards against two majorities that do not overlap.
+        new = [self.group.describe(self.group.add_member()) for _ in "ab"]
+        self.isolate(self.leader)
+        self.group.ask(self.leader, api.AddMember(1, new[0]))
+        self.assert_refused(
+            api.AddMember(1, new[1]), reasons.ControlRefusal.MEMBERS_CHANGING
+        )
+
+    def test_removal_that_would_lose_the_quorum_is_refused(self) -> None:
+        self.group.crash(self.others[0])
+        self.group.run(3 * SECOND)
+        self.assert_refused(
+            api.RemoveMember(1, self.others[1].identity),
+            reasons.ControlRefusal.QUORUM_AT_RISK,
+        )
+
+    def test_second_member_lost_right_after_a_repair(self) -> None:
+        # Guards against a repair that only looks complete.
+        self.accept("one", 0)
+        lost, second = self.others
+        self.group.crash(lost)
+        lost.lost = True
+        cluster.join(self.group, self.group.add_member())
+        cluster.change(self.group, api.RemoveMember(1, lost.identity))
+        self.group.crash(second)
+        second.lost = True
+        self.accept("two", 1)
+        self.group.check_final()
+
+
+class RollbackTest(GroupCase):
+    def roll_back(self, member: cluster.FakeMember) -> None:
+        """Run with writes after an image, then return to the image."""
+        image = member.disk.copy()
+        self.accept("one", 0)
+        self.group.run(5 * SECOND)
+        self.group.crash(member)
+        member.disk = image
+
+    def read_status(self, member: cluster.FakeMember) -> api.StatusRead:
+        client = self.group.ask(member, api.Status(1))
+        reply = self.group.replies[client]
+        assert isinstance(reply, api.StatusRead)
+        return reply
+
+    def test_rolled_back_member_stops_for_good(self) -> None:
+        # Guards against a vote on the ground of an old log.
+        member = self.others[0]
+        self.roll_back(member)
+        self.group.start(member)
+        self.group.run(SECOND)
+        status = self.read_status(member)
+        self.assertEqual(status.status, api.MemberStatus.ROLLED_BACK)
+
+    def test_peer_knows_of_later_writes_through_the_leader(self) -> None:
+        # Guards against two votes out of three for a log without the
+        # accepted version: the leader that saw the writes is gone.
+        member = self.others[0]
+        self.roll_back(member)
+        self.group.crash(self.leader)
+        self.group.start(member)
+        self.group.run(20 * SECOND)
+        status = self.read_status(member)
+        self.assertEqual(status.status, api.MemberStatus.ROLLED_BACK)
+        self.assertIsNone(self.group.find_leader())
+        self.group.start(self.leader)
+        self.group.run_until(lambda: self.group.find_leader() is not None)
+        self.accept("two", 1)
+
+    def test_restarted_member_with_its_disk_takes_part(self) -> None:
+        self.accept("one", 0)
+        self.group.crash(self.others[0])
+        self.group.crash(self.leader)
+        self.group.start(self.others[0])
+        self.group.run_until(lambda: self.group.find_leader() is not None)
+        self.accept("two", 1)
