--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -20,6 +20,10 @@
 from egretfork import reasons
 
 COMPACT_AFTER_ENTRIES = 1000
+
+# Entries stay in memory until they are compacted; a file of the design
+# size has about 100 KB.
+COMPACT_AFTER_BYTES = 2 * 1024 * 1024
 DUTY_INTERVAL = datetime.timedelta(milliseconds=200)
 MAX_PENDING = 1024
 
@@ -356,8 +360,11 @@
             yield commands.SetRecordGroups(changed)
 
     def _compact(self, now: datetime.timedelta) -> None:
-        applied = self._raft.commit - self._raft.log.snapshot.index
-        if applied >= self._compact_after_entries:
+        held = self._raft.log
+        applied = self._raft.commit - held.snapshot.index
+        if applied >= self._compact_after_entries or (
+            applied and held.size_bytes >= COMPACT_AFTER_BYTES
+        ):
             encoded = self._machine.encode()
             self._run(events.Compacted(self._raft.commit, encoded), now)
 
--- a/src/egretfork/control/log.py
+++ b/src/egretfork/control/log.py
@@ -6,7 +6,12 @@
 
 
 class Log:
-    """Entries after a snapshot, with the members that they establish."""
+    """Entries after a snapshot, with the members that they establish.
+
+    Attributes:
+        snapshot: what replaced the entries before.
+        size_bytes: size of the commands of all entries held.
+    """
 
     def __init__(
         self,
@@ -16,6 +21,7 @@
         self.snapshot = snapshot or entries.Snapshot()
         self._entries: list[entries.Entry] = []
         self._changes: list[int] = []
+        self.size_bytes = 0
         self.append(tail)
 
     @property
@@ -85,12 +91,15 @@
                     f"entry {entry.index} does not follow {self.last_index}"
                 )
             self._entries.append(entry)
+            self.size_bytes += len(entry.command)
             if entry.members is not None:
                 self._changes.append(entry.index)
 
     def truncate(self, first: int) -> None:
         """Remove the entries from ``first`` on."""
-        del self._entries[first - self.snapshot.index - 1 :]
+        kept = first - self.snapshot.index - 1
+        self.size_bytes -= _measure(self._entries[kept:])
+        del self._entries[kept:]
         self._changes = [index for index in self._changes if index < first]
 
     def compact(self, index: int, state: bytes) -> entries.Snapshot:
@@ -101,7 +110,9 @@
             members=self.members_at(index),
             state=state,
         )
-        del self._entries[: index - self.snapshot.index]
+        replaced = index - self.snapshot.index
+        self.size_bytes -= _measure(self._entries[:replaced])
+        del self._entries[:replaced]
         self._changes = [change for change in self._changes if change > index]
         self.snapshot = snapshot
         return snapshot
@@ -115,8 +126,13 @@
         self.snapshot = snapshot
         self._entries = []
         self._changes = []
+        self.size_bytes = 0
 
     @property
     def tail(self) -> tuple[entries.Entry, ...]:
         """Return all entries after the snapshot."""
         return tuple(self._entries)
+
+
+def _measure(held: list[entries.Entry]) -> int:
+    return sum(len(entry.command) for entry in held)
