Keep seen write sequences on disk; resend with another base

Cause 1: members forgot at a restart which writes they had seen of each other, so a rollback of one disk stayed undetected when all members had stopped. The numbers are now saved at most every 5 s when they changed. With the save removed, test_rollback_is_detected_after_all_members_stopped fails.

The hash of a request no longer covers the base version. With the former hash, test_resend_with_another_base_gets_the_first_answer fails.

Ruled out: a sequence of its own for the new write (members would answer each other's writes with writes without end).

Process test with kills of leaders.

--- a/src/egretfork/client/options.py
+++ b/src/egretfork/client/options.py
@@ -1,6 +1,7 @@
 """Options and arguments that the commands of the client share."""
 
 import dataclasses
+import datetime
 import uuid
 
 import click
@@ -39,13 +40,14 @@
     members: tuple[model.Endpoint, ...]
     as_json: bool
     author: str
+    timeout: datetime.timedelta
 
     @property
     def session(self) -> session.Session:
         """Return a session with the control members."""
         if not self.members:
             raise click.UsageError("--control is required for this command")
-        return session.Session(self.members)
+        return session.Session(self.members, self.timeout)
 
     def build_command(self, arguments: str) -> str:
         """Return a command line with the same control members."""
--- a/src/egretfork/client/program.py
+++ b/src/egretfork/client/program.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import datetime
 import getpass
 import pathlib
 import sys
@@ -42,19 +43,29 @@
     show_default="user name",
     help="Name recorded with a change.",
 )
+@click.option(
+    "--timeout",
+    "timeout_s",
+    default=session.DEFAULT_TIMEOUT.total_seconds(),
+    show_default=True,
+    type=click.FloatRange(min=0.1),
+    help="Seconds after which a query without a result ends.",
+)
 @click.pass_context
 def main(
     context: click.Context,
     members: tuple[model.Endpoint, ...],
     as_json: bool,
     author: str,
+    timeout_s: float,
 ) -> None:
     """Declare services and read the state of egretfork.
 
     Exit codes: 0 accepted or success, 1 refused, 2 usage or bad file, 3
     outcome unknown.
     """
-    context.obj = options.Options(members, as_json, author)
+    timeout = datetime.timedelta(seconds=timeout_s)
+    context.obj = options.Options(members, as_json, author, timeout)
 
 
 def load_document(file: pathlib.Path) -> document.Document:
--- a/src/egretfork/client/session.py
+++ b/src/egretfork/client/session.py
@@ -13,7 +13,7 @@
 from egretfork import model
 from egretfork import reasons
 
-TRY_TIMEOUT = datetime.timedelta(seconds=2)
+TRY_TIMEOUT = datetime.timedelta(seconds=1)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 DEFAULT_TIMEOUT = datetime.timedelta(seconds=15)
 
@@ -74,7 +74,7 @@
         failure = _describe(target, "no reply")
         while time.monotonic() < deadline:
             received = ask_member(context, target, build(next(self._numbers)))
-            reply = _convert_refusal(certainty, target, received)
+            reply = convert_refusal(certainty, target, received)
             if not isinstance(
                 reply, reasons.Failure | api.Redirect | api.OutcomeUnknown
             ):
@@ -115,7 +115,7 @@
     )
 
 
-def _convert_refusal(
+def convert_refusal(
     certainty: Certainty,
     member: model.Endpoint,
     reply: api.Reply | reasons.Failure,
--- a/src/egretfork/control/events.py
+++ b/src/egretfork/control/events.py
@@ -172,7 +172,18 @@
     seen_sequence: int
 
 
-Save = SaveVote | SaveEntries | SaveSnapshot
+@dataclasses.dataclass(frozen=True, slots=True)
+class SaveSeen:
+    """Replace the file of the write sequences seen of other members.
+
+    This write has no sequence of its own: members would otherwise answer
+    each other's writes with writes without end.
+    """
+
+    seen: tuple[entries.SeenSequence, ...]
+
+
+Save = SaveVote | SaveEntries | SaveSnapshot | SaveSeen
 
 Action = (
     Save
--- a/src/egretfork/control/program.py
+++ b/src/egretfork/control/program.py
@@ -147,6 +147,7 @@
         vote=loaded.vote,
         held=loaded.log,
         sequence=loaded.sequence,
+        seen=loaded.seen,
         seed=random.Random(secrets.randbits(64)),
         now=clock.MonotonicClock().now(),
     )
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -42,6 +42,7 @@
         return self._actions
 
     def _on_tick(self) -> None:
+        self._save_seen()
         if not self.verified:
             self._greet_peers()
         elif self.leading is not None:
@@ -123,14 +124,6 @@
         message = leader.build_message(identity, self.term, self.commit, seen)
         self._send(identity, message)
 
-    def _list_seen(self) -> tuple[entries.SeenSequence, ...]:
-        members = entries.list_identities(self.log.members)
-        return tuple(
-            entries.SeenSequence(identity, sequence)
-            for identity, sequence in sorted(self.seen.items())
-            if identity in members
-        )
-
     def _on_append_reply(
         self, sender: str, message: entries.AppendReply
     ) -> None:
--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -286,6 +286,8 @@
 
 
 def _digest(command: commands.OperatorCommand) -> int:
-    # A resend by a restarted client has another time.
+    # A resend may come from another client, later and with another base.
     content = msgspec.structs.replace(command, submitted_ms=0, author="")
+    if isinstance(content, commands.Apply):
+        content = msgspec.structs.replace(content, base_version=0)
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(content))
--- a/src/egretfork/control/storage.py
+++ b/src/egretfork/control/storage.py
@@ -1,4 +1,5 @@
-"""Files of a member: identity, vote, snapshot and log segment.
+"""Files of a member: identity, vote, snapshot, log segment and what was
+seen of other members.
 
 The vote and snapshot files are replaced by renaming a synced temporary
 file; the segment is appended to and synced. Every write carries the next
@@ -23,6 +24,7 @@
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_FILE = "segment"
+SEEN_FILE = "seen"
 TEMPORARY_SUFFIX = ".new"
 
 StoredType = typing.TypeVar("StoredType", bound=msgspec.Struct)
@@ -53,6 +55,12 @@
     snapshot: entries.Snapshot
 
 
+class StoredSeen(msgspec.Struct, frozen=True, array_like=True):
+    """Highest write sequence seen of each other member."""
+
+    seen: tuple[entries.SeenSequence, ...]
+
+
 class StoredEntries(msgspec.Struct, frozen=True, array_like=True):
     """Record of the segment: drop entries from ``first`` on, then add."""
 
@@ -74,6 +82,7 @@
     vote: entries.Vote
     log: log.Log
     torn_bytes: int
+    seen: tuple[entries.SeenSequence, ...] = ()
 
 
 class Storage:
@@ -111,6 +120,7 @@
         snapshot = entries.Snapshot(members=members)
         self._replace(SNAPSHOT_FILE, StoredSnapshot(1, snapshot))
         self._replace(VOTE_FILE, StoredVote(1, entries.Vote()))
+        self._replace(SEEN_FILE, StoredSeen(()))
         self._system.write(SEGMENT_FILE, b"")
         self._system.sync(SEGMENT_FILE)
         # The identity comes last: without it the folder does not count.
@@ -135,6 +145,7 @@
             vote=vote.vote,
             log=_rebuild_log(snapshot, stored),
             torn_bytes=torn_bytes,
+            seen=self._read(SEEN_FILE, StoredSeen).seen,
         )
 
     def save(self, action: events.Save) -> None:
@@ -150,7 +161,8 @@
         except OSError as error:
             self.failure = str(error)
             raise StorageError(self.failure) from error
-        self.sequence = action.sequence
+        if not isinstance(action, events.SaveSeen):
+            self.sequence = action.sequence
 
     def _carry_out(self, action: events.Save) -> None:
         match action:
@@ -165,6 +177,8 @@
                 self._system.sync(SEGMENT_FILE)
             case events.SaveSnapshot():
                 self._save_snapshot(action)
+            case events.SaveSeen():
+                self._replace(SEEN_FILE, StoredSeen(action.seen))
 
     def _save_snapshot(self, action: events.SaveSnapshot) -> None:
         stored = StoredSnapshot(action.sequence, action.snapshot)
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -7,9 +7,10 @@
 no part until a majority of voters, itself included, has told it the
 highest number seen of it. A number above the one on disk proves that
 writes which others rely on are gone; the member then stops for good and
-has to return under a new identity. A rollback stays undetected only if
-neither the peers that answer nor a leader they have heard from saw the
-later writes.
+has to return under a new identity. Members keep the numbers on disk, at
+most some seconds late. A rollback stays undetected only if neither the
+peers that answer nor a leader they have heard from saw the later writes,
+or if all that saw them stopped within those seconds.
 """
 
 import abc
@@ -23,6 +24,7 @@
 from egretfork.control import log
 
 HEARTBEAT = datetime.timedelta(milliseconds=400)
+SAVE_SEEN_PERIOD = datetime.timedelta(seconds=5)
 ELECTION_TIMEOUT_MIN = datetime.timedelta(milliseconds=1200)
 ELECTION_TIMEOUT_MAX = datetime.timedelta(milliseconds=2400)
 
@@ -44,6 +46,7 @@
         vote: entries.Vote,
         held: log.Log,
         sequence: int,
+        seen: tuple[entries.SeenSequence, ...],
         seed: random.Random,
         now: datetime.timedelta,
     ) -> None:
@@ -55,7 +58,9 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.leading: leading.Leadership | None = None
-        self.seen: dict[str, int] = {}
+        self.seen = {item.identity: item.sequence for item in seen}
+        self._saved_seen = seen
+        self._save_seen_at = now + SAVE_SEEN_PERIOD
         self.verified = self._count_needed_hellos() == 0
         self._greeted: set[str] = set()
         self._votes: set[str] = set()
@@ -101,6 +106,23 @@
             highest = max(sequence, self.seen.get(identity, 0))
             self.seen[identity] = highest
 
+    def _list_seen(self) -> tuple[entries.SeenSequence, ...]:
+        members = entries.list_identities(self.log.members)
+        return tuple(
+            entries.SeenSequence(identity, sequence)
+            for identity, sequence in sorted(self.seen.items())
+            if identity in members
+        )
+
+    def _save_seen(self) -> None:
+        if self._now < self._save_seen_at:
+            return
+        self._save_seen_at = self._now + SAVE_SEEN_PERIOD
+        newest = self._list_seen()
+        if newest != self._saved_seen:
+            self._saved_seen = newest
+            self._actions.append(events.SaveSeen(newest))
+
     def _on_hello_reply(
         self, sender: str, message: entries.HelloReply
     ) -> None:
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -64,7 +64,6 @@
     MEMBERS_CHANGING = "members_changing"
     QUORUM_AT_RISK = "quorum_at_risk"
     STORAGE_FAILED = "storage_failed"
-    SUPERSEDED = "superseded"
 
 
 class Retry(enum.StrEnum):
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -145,6 +145,7 @@
             vote=loaded.vote,
             held=held,
             sequence=loaded.sequence,
+            seen=loaded.seen,
             seed=self.generator,
             now=self.now,
         )
--- /dev/null
+++ b/tests/control/test_client.py
@@ -0,0 +1,66 @@
+"""Exit codes of the client tell a refusal from an unknown outcome."""
+
+import pathlib
+import unittest
+
+from click import testing
+
+from egretfork.client import output
+from egretfork.client import program
+from egretfork.client import session
+from egretfork.control import api
+from egretfork import model
+from egretfork import reasons
+from tests.control import processes
+
+COASTAL = str(processes.EXAMPLES / "coastal.yaml")
+MEMBER = model.Endpoint("127.0.0.1", 1)
+
+
+def run(*arguments: str) -> testing.Result:
+    return testing.CliRunner().invoke(program.main, arguments)
+
+
+class ExitCodeTest(unittest.TestCase):
+    def test_good_file_is_valid(self) -> None:
+        self.assertEqual(run("check", COASTAL).exit_code, 0)
+
+    def test_bad_file_is_a_usage_error(self) -> None:
+        result = run("check", str(pathlib.Path(__file__)))
+        self.assertEqual(result.exit_code, output.Exit.USAGE)
+
+    def test_missing_members_are_a_usage_error(self) -> None:
+        result = run("apply", COASTAL, "--base", "0")
+        self.assertEqual(result.exit_code, output.Exit.USAGE)
+
+    def test_unreachable_members_leave_the_outcome_unknown(self) -> None:
+        # Guards against "refused" for a request that may have arrived.
+        address = f"127.0.0.1:{processes.pick_port()}"
+        options = ("--control", address, "--timeout", "0.1")
+        request = ("--base", "0", "--request", "one")
+        result = run(*options, "apply", COASTAL, *request)
+        self.assertEqual(result.exit_code, output.Exit.UNKNOWN)
+        find_out = f"egretforkctl --control {address} history --request one"
+        self.assertIn(find_out, result.output)
+
+
+class RefusalTest(unittest.TestCase):
+    def convert(
+        self, certainty: session.Certainty, reason: reasons.ControlRefusal
+    ) -> object:
+        refusal = api.QueryRefused(1, reason, "")
+        return session.convert_refusal(certainty, MEMBER, refusal)
+
+    def test_refusal_after_an_uncertain_try_is_unknown(self) -> None:
+        # Guards against "refused" for a change that an earlier try made.
+        result = self.convert(
+            session.Certainty.UNKNOWN, reasons.ControlRefusal.MEMBERS_CHANGING
+        )
+        assert isinstance(result, session.NoResult)
+        self.assertIs(result.certainty, session.Certainty.UNKNOWN)
+
+    def test_member_with_a_failed_disk_does_not_end_a_request(self) -> None:
+        result = self.convert(
+            session.Certainty.NOT_DONE, reasons.ControlRefusal.STORAGE_FAILED
+        )
+        self.assertIsInstance(result, api.Redirect)
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -1,12 +1,20 @@
 """Control processes keep accepted versions through kill -9."""
 
 import signal
+import threading
+
+import msgspec
 
 from tests.control import processes
 
 COASTAL = str(processes.EXAMPLES / "coastal.yaml")
 TIBAY = str(processes.EXAMPLES / "tibay.yaml")
 
+EMPTY = str(processes.ROOT / "tests" / "control" / "empty.yaml")
+
+# About the time in which the client starts and sends its command.
+KILL_DELAY_S = 0.3
+
 
 class ControlProcessTest(processes.ProcessTest):
     def test_accepted_version_survives_the_kill_of_all_processes(self) -> None:
@@ -35,6 +43,38 @@
         self.members[0].start()
         processes.poll(lambda: self.read_version() == 1)
 
+    def test_kills_of_leaders_lose_and_double_no_change(self) -> None:
+        # Guards against a change that is lost or made twice when the
+        # leader dies between its sync and its answer.
+        for base in range(12):
+            if base % 3 == 2:
+                self.kill_leader_soon()
+            file = TIBAY if base % 2 else EMPTY
+            resent = ("--base", str(base), "--request", f"r{base}")
+            applied = self.run_client("apply", file, *resent)
+            while applied.returncode == 3:
+                applied = self.run_client("apply", file, *resent)
+            self.assertEqual(applied.returncode, 0, applied.stdout)
+            outcome = msgspec.json.decode(applied.stdout)
+            self.assertEqual(outcome["version"], base + 1)
+        self.assertEqual(self.read_version(), 12)
+
+    def kill_leader_soon(self) -> None:
+        """Kill the leader while the next change is made; start it again."""
+        statuses = msgspec.json.decode(self.run_client("status").stdout)
+        leader = next(
+            member
+            for member, status in zip(self.members, statuses, strict=True)
+            if isinstance(status, dict) and status["role"] == "leader"
+        )
+        killer = threading.Timer(KILL_DELAY_S, self.restart, (leader,))
+        killer.start()
+        self.addCleanup(killer.join)
+
+    def restart(self, member: processes.Member) -> None:
+        member.stop()
+        member.start()
+
     def test_terminated_member_exits_with_zero(self) -> None:
         # Guards against a planned stop that ends in an error.
         self.assertEqual(self.members[2].stop(signal.SIGTERM), 0)
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -26,6 +26,7 @@
         loaded.vote,
         loaded.log,
         loaded.sequence,
+        loaded.seen,
         random.Random(1),
         datetime.timedelta(),
     )
@@ -239,6 +240,18 @@
         self.group.run_until(lambda: self.group.find_leader() is not None)
         self.accept("two", 1)
 
+    def test_rollback_is_detected_after_all_members_stopped(self) -> None:
+        # Guards against members that forget what they saw of each other.
+        member = self.others[0]
+        self.roll_back(member)
+        for other in (self.leader, self.others[1]):
+            self.group.crash(other)
+            self.group.start(other)
+        self.group.start(member)
+        self.group.run(2 * SECOND)
+        status = self.read_status(member)
+        self.assertEqual(status.status, api.MemberStatus.ROLLED_BACK)
+
     def test_restarted_member_with_its_disk_takes_part(self) -> None:
         self.accept("one", 0)
         self.group.crash(self.others[0])
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -54,6 +54,13 @@
         reason = reasons.ControlRefusal.REQUEST_ID_REUSED
         self.assertEqual(other.reason, reason)
 
+    def test_resend_with_another_base_gets_the_first_answer(self) -> None:
+        # Guards against a refusal of a change that is in force.
+        first = build_apply(0, {"127.0.0.1:1": "one"}, "id")
+        expected = self.apply(first)
+        resent = build_apply(1, {"127.0.0.1:1": "one"}, "id")
+        self.assertEqual(self.apply(resent), expected)
+
     def test_first_answer_survives_1023_later_requests(self) -> None:
         first = build_apply(0, {"127.0.0.1:1": "one"}, "id")
         expected = self.apply(first)
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -70,7 +70,12 @@
 
     @hypothesis.given(
         strategies.sampled_from(
-            [storage.IDENTITY_FILE, storage.VOTE_FILE, storage.SNAPSHOT_FILE]
+            [
+                storage.IDENTITY_FILE,
+                storage.VOTE_FILE,
+                storage.SNAPSHOT_FILE,
+                storage.SEEN_FILE,
+            ]
         ),
         strategies.integers(0, 2**16),
         strategies.integers(1, 255),
