--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -20,6 +20,10 @@
 from egretfork import reasons
 
 COMPACT_AFTER_ENTRIES = 1000
+
+# Entries stay in memory until they are compacted; a file of the design
+# size has about 100 KB.
+COMPACT_AFTER_BYTES = 2 * 1024 * 1024
 DUTY_INTERVAL = datetime.timedelta(milliseconds=200)
 MAX_PENDING = 1024
 
@@ -41,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Confirmed:
-    """Versions that nodes and agents have in force."""
+    """Versions that nodes have in force."""
 
     confirmations: tuple[commands.NodeVersion, ...]
 
@@ -78,7 +82,14 @@
     configuration: model.Configuration
 
 
-CoreAction = events.Save | events.Send | Answer | Publish
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropNode:
+    """Stop the dissemination to a node that is gone for good."""
+
+    node: str
+
+
+CoreAction = events.Save | events.Send | Answer | Publish | DropNode
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,7 +152,6 @@
                 self._on_query(event, now)
             case Announced():
                 self._announcements = event.announcements
-                self._nodes.note_announcements(event.announcements)
             case Confirmed():
                 self._nodes.note_confirmations(event.confirmations)
             case _:
@@ -263,7 +273,7 @@
         if entry.command:
             command = commands.decode(entry.command)
             outcome = self._machine.apply(command)
-            self._note_applied(command, now)
+            self._note_applied(command, outcome, now)
         placed = [
             token
             for token, pending in self._pending.items()
@@ -273,11 +283,18 @@
             self._conclude(self._pending.pop(token), entry, outcome)
 
     def _note_applied(
-        self, command: commands.Command, now: datetime.timedelta
+        self,
+        command: commands.Command,
+        outcome: commands.Outcome | None,
+        now: datetime.timedelta,
     ) -> None:
-        if isinstance(command, commands.SetRecordGroups):
-            for group in command.groups:
-                self._groups.note_changed(group, now)
+        match command:
+            case commands.SetRecordGroups():
+                for group in command.groups:
+                    self._groups.note_changed(group, now)
+            case commands.ForgetNode() if outcome and not outcome.reason:
+                self._nodes.drop(command.node)
+                self._actions.append(DropNode(command.node))
 
     def _conclude(
         self,
@@ -343,8 +360,11 @@
             yield commands.SetRecordGroups(changed)
 
     def _compact(self, now: datetime.timedelta) -> None:
-        applied = self._raft.commit - self._raft.log.snapshot.index
-        if applied >= self._compact_after_entries:
+        held = self._raft.log
+        applied = self._raft.commit - held.snapshot.index
+        if applied >= self._compact_after_entries or (
+            applied and held.size_bytes >= COMPACT_AFTER_BYTES
+        ):
             encoded = self._machine.encode()
             self._run(events.Compacted(self._raft.commit, encoded), now)
 
