Keep the stand-in of the fabric running on a half written file

The file of entries is polled while others write it; a line that was cut off stopped the stand-in with an error.

It keeps the entries it has and says so. Check: with ValueError let through, the new test ends with the parse error.

--- a/src/egretfork/standins/fabric.py
+++ b/src/egretfork/standins/fabric.py
@@ -69,17 +69,26 @@
         self.read_entries()
         self._towards_entries = await open_socket(listen, self._return)
         for service in services:
-            spray = functools.partial(self._spray, service)
+            spray = functools.partial(self.spray, service)
             self._callers[service] = await open_socket(service, spray)
 
     def read_entries(self) -> None:
-        """Read the entries, one ``host:port`` a line."""
-        lines = self._entries_file.read_text(encoding="utf-8").split()
-        self._entries = tuple(map(model.parse_endpoint, lines))
+        """Read the entries, one ``host:port`` a line.
 
-    def _spray(
+        A file that is missing or half written changes nothing.
+        """
+        try:
+            lines = self._entries_file.read_text(encoding="utf-8").split()
+            entries = tuple(map(model.parse_endpoint, lines))
+        except (OSError, ValueError) as error:
+            click.echo(f"entries not read: {error}", err=True)
+            return
+        self._entries = entries
+
+    def spray(
         self, service: model.Endpoint, data: bytes, caller: model.Endpoint
     ) -> None:
+        """Hand a caller's datagram to an entry chosen at random."""
         if not self._entries or self._towards_entries is None:
             return
         entry = self._rng.choice(self._entries)
