Read datagrams in batches

At load, most of the time of an entry went to the event loop: asyncio's datagram transport reads one datagram in each turn of the loop.

DatagramService owns its socket and reads up to 32 datagrams in a turn. The send buffer is raised like the receive buffer, as the transport's own queue is gone. Ruled out: recvmmsg, which Python does not offer.

--- a/src/egretfork/datagrams.py
+++ b/src/egretfork/datagrams.py
@@ -12,39 +12,16 @@
 
 LOGGER = logging.getLogger(__name__)
 
-RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+BUFFER_BYTES = 4 * 1024 * 1024
+MAX_UDP_BYTES = 65535
+# Datagrams read in one turn of the event loop: a turn for each datagram
+# costs several times as much as the read itself, and without a bound a busy
+# socket would keep timers and other sockets waiting.
+MAX_READ_BATCH = 32
 
 Handler = collections.abc.Callable[[bytes, model.Endpoint], None]
 
 
-class _Protocol(asyncio.DatagramProtocol):
-    """Passes datagrams to a handler; logs socket errors."""
-
-    def __init__(self, handler: Handler) -> None:
-        self._handler = handler
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hand over one datagram."""
-        try:
-            self._handler(data, model.Endpoint(addr[0], addr[1]))
-        except Exception:
-            # One datagram must not stop the socket for all others.
-            LOGGER.exception(
-                "datagram_handler_failed",
-                extra={"step": "handle datagram", "peer": str(addr)},
-            )
-
-    def error_received(self, exc: Exception) -> None:
-        """Log an asynchronous error, such as a closed peer port."""
-        logs.write(
-            LOGGER,
-            "socket_error",
-            step="send datagram",
-            detail=str(exc),
-            level=logging.DEBUG,
-        )
-
-
 class DatagramService(mode.Service):
     """Receives datagrams on one UDP address and sends from it."""
 
@@ -52,7 +29,7 @@
         super().__init__()
         self._address = address
         self._handler = handler
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
 
     @property
     def address(self) -> model.Endpoint:
@@ -66,31 +43,87 @@
             OSError: the address cannot be bound.
         """
         bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        bound.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
         try:
+            self.configure(bound)
             bound.bind((self._address.host, self._address.port))
         except OSError:
             bound.close()
             raise
         bound.setblocking(False)
-        running = asyncio.get_running_loop()
-        transport, _ = await running.create_datagram_endpoint(
-            lambda: _Protocol(self._handler), sock=bound
-        )
-        self._transport = transport
-        host, port = transport.get_extra_info("sockname")
-        self._address = model.Endpoint(host, port)
+        self._socket = bound
+        self._address = model.Endpoint(*bound.getsockname())
+        asyncio.get_running_loop().add_reader(bound, self._read_batch, bound)
 
     async def on_stop(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def configure(self, bound: socket.socket) -> None:
+        """Set the options of a socket that is not bound yet.
+
+        Raises:
+            OSError: the kernel refused an option.
+        """
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            bound.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+
+    def receive(self, bound: socket.socket) -> None:
+        """Read one datagram and pass it to the handler.
+
+        Raises:
+            OSError: there is none, or the read failed.
+        """
+        data, source = bound.recvfrom(MAX_UDP_BYTES)
+        peer = model.Endpoint(*source)
+        try:
+            self._handler(data, peer)
+        except Exception:
+            log_handler_failure(peer)
 
     def send(self, data: bytes, peer: model.Endpoint) -> None:
         """Send one datagram; a datagram that cannot be sent is lost."""
-        if self._transport is None:
+        if self._socket is None:
             return
-        self._transport.sendto(data, (peer.host, peer.port))
+        try:
+            self._socket.sendto(data, (peer.host, peer.port))
+        except (OSError, OverflowError) as error:
+            # An address in a message may have a port that does not exist.
+            log_error("send datagram", str(peer), error)
+
+    def _read_batch(self, bound: socket.socket) -> None:
+        for _ in range(MAX_READ_BATCH):
+            if self._socket is None:
+                return
+            try:
+                self.receive(bound)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_error("receive datagram", "", error)
+                return
+
+
+def log_handler_failure(peer: model.Endpoint) -> None:
+    """Log the current exception of a handler.
+
+    One datagram must not stop the socket for all others.
+    """
+    LOGGER.exception(
+        "datagram_handler_failed",
+        extra={"step": "handle datagram", "peer": str(peer)},
+    )
+
+
+def log_error(step: str, peer: str, error: Exception) -> None:
+    """Log an error of a socket, such as a closed peer port."""
+    logs.write(
+        LOGGER,
+        "socket_error",
+        step=step,
+        peer=peer,
+        detail=str(error),
+        level=logging.DEBUG,
+    )
--- a/src/egretfork/entry/ingress.py
+++ b/src/egretfork/entry/ingress.py
@@ -117,7 +117,7 @@
     def send(self, flow: wire.FlowKey, payload: bytes) -> bool:
         """Send through the socket bound to the service address."""
         return any(
-            bound.send(payload, flow.caller, flow.service_address)
+            bound.send_from(payload, flow.caller, flow.service_address)
             for bound in self._sockets
             if bound.covers(flow.service_address)
         )
--- /dev/null
+++ b/tests/test_datagrams.py
@@ -0,0 +1,45 @@
+"""One datagram that cannot be handled or sent does not stop a socket."""
+
+import asyncio
+import logging
+import unittest
+
+from egretfork import datagrams
+from egretfork import model
+
+LOOPBACK = model.Endpoint("127.0.0.1", 0)
+
+
+class DatagramServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_failures_leave_the_socket_open(self) -> None:
+        # Guards against a daemon that goes deaf after one bad message.
+        received: list[bytes] = []
+        done = asyncio.Event()
+
+        def handle(data: bytes, peer: model.Endpoint) -> None:
+            received.append(data)
+            if len(received) == 2 * datagrams.MAX_READ_BATCH:
+                done.set()
+            if data == b"0":
+                raise OSError("handler")
+
+        service = datagrams.DatagramService(LOOPBACK, handle)
+        service.send(b"before start", LOOPBACK)
+        await service.start()
+        self.addAsyncCleanup(service.stop)
+        logging.disable(logging.ERROR)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        service.send(b"", model.Endpoint("127.0.0.1", 70_000))
+        service.send(bytes(datagrams.MAX_UDP_BYTES + 1), service.address)
+        expected = [
+            str(number).encode()
+            for number in range(2 * datagrams.MAX_READ_BATCH)
+        ]
+        for data in expected:
+            service.send(data, service.address)
+        await asyncio.wait_for(done.wait(), 20)
+        self.assertEqual(received, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
