Continue above both owners' numbers when flows merge

The state machine found a session whose notifications the caller took for old ones: two owners had served it, and the one that kept the flow went on at sequence 1026 although the other had sent 2051. Merging now takes the higher sequence and message ID and adds the step of a move.

It also found a request that was not answered after a crash: hints to an agent that was removed from the announcements were still followed. Removed agents now count as gone (the last 256 of them).

Agents tell each other the entries that they heard last in their load hints, so that a session whose only entries died is reached through another one.

--- a/src/egretfork/agent/admission.py
+++ b/src/egretfork/agent/admission.py
@@ -19,6 +19,7 @@
 PLACEMENT_WINDOW = datetime.timedelta(milliseconds=150)
 # A newcomer that has heard no peer in this time takes its own view.
 FIRST_HINTS_TIMEOUT = datetime.timedelta(seconds=3)
+MAX_DEPARTED = 256
 ABLE_STATES = frozenset((model.TargetState.READY, model.TargetState.JOINING))
 GONE_STATES = frozenset((model.TargetState.SUSPECT, model.TargetState.LEFT))
 
@@ -77,6 +78,9 @@
         self._has_room = has_room
         self._count_flows = count_flows
         self._peers: dict[model.Endpoint, Peer] = {}
+        self._departed: collections.OrderedDict[model.Endpoint, None] = (
+            collections.OrderedDict()
+        )
         self._announcements: tuple[model.TargetAnnouncement, ...] = ()
         self._allowance = 0.0
         self._cold_since: datetime.timedelta | None = None
@@ -108,6 +112,13 @@
         own = self._status.address
         self._announcements = announcements
         before = self._peers
+        present = {announcement.address for announcement in announcements}
+        for address in before:
+            self._departed[address] = None
+        for address in present:
+            self._departed.pop(address, None)
+        while len(self._departed) > MAX_DEPARTED:
+            self._departed.popitem(last=False)
         self._peers = {
             announcement.address: self._renew(
                 before.get(announcement.address), announcement, now
@@ -232,9 +243,11 @@
             peer.placed.append(now)
 
     def is_gone(self, agent: model.Endpoint) -> bool:
-        """Tell whether an agent is announced as suspect or left."""
+        """Tell whether an agent is suspect, has left or was removed."""
         peer = self._peers.get(agent)
-        return peer is not None and peer.announcement.state in GONE_STATES
+        if peer is None:
+            return agent in self._departed
+        return peer.announcement.state in GONE_STATES
 
     def choose(
         self,
--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -232,6 +232,7 @@
         if hint.service != self._status.service_name:
             return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
         self._admission.hear(hint)
+        self._status.entries.learn(hint.entries)
         return self._ask_engine(event, now)
 
     def _configure(
--- a/src/egretfork/agent/entrybook.py
+++ b/src/egretfork/agent/entrybook.py
@@ -1,10 +1,12 @@
 """Entries that delivered datagrams lately."""
 
 import collections
+import itertools
 
 from egretfork import model
 
 MAX_ENTRIES = 16
+MAX_TOLD = 4
 
 
 class EntryBook:
@@ -22,6 +24,19 @@
         if len(self._entries) > MAX_ENTRIES:
             self._entries.popitem(last=False)
 
+    def learn(self, entries: tuple[model.Endpoint, ...]) -> None:
+        """Take entries that a peer has heard; own knowledge comes first."""
+        for entry in entries[:MAX_TOLD]:
+            if entry not in self._entries:
+                self._entries[entry] = None
+                self._entries.move_to_end(entry, last=False)
+        while len(self._entries) > MAX_ENTRIES:
+            self._entries.popitem(last=False)
+
+    def tell(self) -> tuple[model.Endpoint, ...]:
+        """Return the entries heard last, for peers."""
+        return tuple(itertools.islice(reversed(self._entries), MAX_TOLD))
+
     def choose(
         self, known: tuple[model.Endpoint, ...], attempt: int
     ) -> tuple[model.Endpoint, ...]:
@@ -34,7 +49,7 @@
             known: entries that the caller used, latest first.
             attempt: transmissions before this one.
         """
-        recent = [entry for entry in reversed(self._entries)]
+        recent = reversed(self._entries)
         candidates = tuple(dict.fromkeys((*known[:1], *recent, *known)))
         if not candidates:
             return ()
--- a/src/egretfork/agent/flowrecords.py
+++ b/src/egretfork/agent/flowrecords.py
@@ -76,6 +76,31 @@
     flows.drop_old_exchanges(flow, now)
 
 
+def merge_counters(flow: flows.Flow, record: wire.FlowRecord) -> None:
+    """Continue above the numbers that another owner has used.
+
+    Both owners have sent notifications; the caller takes a lower sequence
+    or a message ID that it has seen for an old message.
+    """
+    half = flows.MESSAGE_ID_COUNT // 2
+    ahead = (record.next_message_id - flow.next_message_id) % (2 * half)
+    if ahead < half:
+        step = sessions.MOVE_MESSAGE_ID_STEP
+        flow.next_message_id = (record.next_message_id + step) % (2 * half)
+    for item in record.sessions:
+        session = flow.find_session(item.token)
+        if session is None:
+            continue
+        half_sequences = sessions.SEQUENCE_COUNT // 2
+        ahead = (item.observe_sequence - session.sequence) % (
+            sessions.SEQUENCE_COUNT
+        )
+        if ahead < half_sequences:
+            session.sequence = (
+                item.observe_sequence + sessions.MOVE_SEQUENCE_STEP
+            ) % sessions.SEQUENCE_COUNT
+
+
 def build_late_answer(
     key: wire.FlowKey, message_id: int, answer: bytes
 ) -> wire.FlowRecord:
--- a/src/egretfork/agent/hints.py
+++ b/src/egretfork/agent/hints.py
@@ -51,8 +51,14 @@
             return []
         hint = self._build(state)
         peers = sorted(self._admission.peers)
-        if hint != self._last:
-            self._last = hint
+        changed = hint != self._last
+        # The order of entries changes with each datagram and is no reason
+        # for a hint of its own.
+        self._last = hint
+        hint = msgspec.structs.replace(
+            hint, entries=self._status.entries.tell()
+        )
+        if changed:
             self._next_hint = now + MIN_INTERVAL
             self._next_heartbeat = now + HEARTBEAT_INTERVAL
             return [actions.SendMessage(peer, hint) for peer in peers]
--- a/src/egretfork/agent/incoming.py
+++ b/src/egretfork/agent/incoming.py
@@ -232,6 +232,7 @@
             self._table.add(flow)
         else:
             flow.stamp = min(flow.stamp, arrival.flow.stamp)
+            flowrecords.merge_counters(flow, arrival.record)
             self._merge_exchanges(flow, arrival.record, arrival.transfer, now)
         for item in arrival.opened:
             self._sessions.adopt(flow, item.session)
--- a/src/egretfork/agent/router.py
+++ b/src/egretfork/agent/router.py
@@ -55,9 +55,9 @@
             return [actions.CountReason(reasons.Drop.WRONG_SERVICE)]
         if self._status.service is None:
             return [actions.CountReason(reasons.Drop.NO_CONFIGURATION)]
+        self._status.entries.note(forwarded.entry)
         if not forwarded.hops:
             self._forwarder.note_list(forwarded)
-            self._status.entries.note(forwarded.entry)
         flow = self._table.get(forwarded.flow)
         if flow is not None:
             return self._serve(flow, forwarded, now)
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -131,6 +131,8 @@
         admitted: flows admitted since the start of the agent.
         shedding: the agent takes no new flows for now.
         paced: the agent takes new flows only if no other agent does.
+        entries: entries that the agent heard last, through which a peer
+            can reach callers when the entries it knows have died.
     """
 
     service: str
@@ -145,6 +147,7 @@
     admitted: int = 0
     shedding: bool = False
     paced: bool = False
+    entries: tuple[model.Endpoint, ...] = ()
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -185,6 +185,7 @@
         self.watches: dict[bytes, Watch] = {}
         self.message_id = world.rng.randrange(65536)
         self.numbers = itertools.count(1)
+        self.seen: set[int] = set()
 
     def request(
         self, code: codes.Code = codes.GET, key: bytes = b"", **options: object
@@ -236,8 +237,13 @@
         if kind is not coap.Kind.RESPONSE:
             return
         if message.mtype is types.CON:
+            # RFC 7252 section 4.2: a duplicate is acknowledged only.
+            is_new = message.mid not in self.seen
+            self.seen.add(message.mid)
             ack = coap.encode(coap.build_empty(types.ACK, message.mid))
             self.world.from_caller(self, ack)
+            if not is_new:
+                return
         self.exchanges[message.token].answers.append(message)
         watch = self.watches.get(message.token)
         if watch is not None:
@@ -446,6 +452,12 @@
         for node in self.nodes.values():
             self.handle(node, events.ConfigurationChanged(configuration))
 
+    def chatter(self) -> None:
+        """Send requests of other callers, so that agents hear entries."""
+        for caller in itertools.islice(self.callers.values(), 2):
+            caller.request()
+        self.after(1.0, self.chatter)
+
     # Datagrams.
     def tick(self, node: Node) -> None:
         if node.alive and self.by_endpoint[node.endpoint] is node:
--- a/tests/test_flows_machine.py
+++ b/tests/test_flows_machine.py
@@ -38,6 +38,9 @@
         for number in range(4):
             self.world.add_agent(f"t{number}")
         self.world.run(3)
+        self.world.add_caller()
+        self.world.add_caller()
+        self.world.chatter()
         self.world.form_group()
         self.world.run(2)
         self.world.spread_s = (0.0, spread_s)
