--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 import fnmatch
 import random
@@ -47,6 +48,27 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sizes:
+    """Sizes of the tables of one agent.
+
+    Attributes:
+        flows: owned flows.
+        sessions: open sessions.
+        flow_bytes: estimated size of the flow records.
+        hints: remembered owners of other flows.
+        requests: requests and answers in progress.
+        open_transfers: batches of flows that are not acknowledged.
+    """
+
+    flows: int
+    sessions: int
+    flow_bytes: int
+    hints: int
+    requests: int
+    open_transfers: int
+
+
 class AgentCore:
     """Decisions of one agent.
 
@@ -158,15 +180,16 @@
         """Tell whether this agent owns a flow."""
         return self._table.get(key) is not None
 
-    @property
-    def session_count(self) -> int:
-        """Return the number of open sessions."""
-        return self._table.session_count
-
-    @property
-    def table_bytes(self) -> int:
-        """Return the estimated size of the flow records."""
-        return self._table.size_bytes
+    def read_sizes(self) -> Sizes:
+        """Return the sizes of the tables."""
+        return Sizes(
+            flows=len(self._table),
+            sessions=self._table.session_count,
+            flow_bytes=self._table.size_bytes,
+            hints=len(self._forwarder.hints),
+            requests=self._server.pending_count,
+            open_transfers=self._transfers.open_count,
+        )
 
     @property
     def target_endpoint(self) -> model.Endpoint | None:
--- a/src/egretfork/agent/shell.py
+++ b/src/egretfork/agent/shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import datetime
 import logging
 import typing
@@ -221,14 +222,7 @@
         )
 
     def _update_gauges(self) -> None:
-        core = self._core
-        for name, description, value in (
-            ("flows", "Open flows.", core.flow_count),
-            ("sessions", "Open sessions.", core.session_count),
-            (
-                "flow_bytes",
-                "Estimated size of flow records.",
-                core.table_bytes,
-            ),
-        ):
-            self._metrics.set_gauge(name, description, value)
+        sizes = self._core.read_sizes()
+        for name, value in dataclasses.asdict(sizes).items():
+            text = name.replace("_", " ")
+            self._metrics.set_gauge(name, f"Current {text}.", value)
--- a/src/egretfork/bench/flows.py
+++ b/src/egretfork/bench/flows.py
@@ -149,7 +149,7 @@
 
     seed: int
     ratios: tuple[float, ...]
-    worst_after_ramp: float
+    worst: float
     flows_over_mean: float
 
 
@@ -280,7 +280,7 @@
     return Speed(
         flows=agent.flow_count,
         bytes_per_flow=used // count,
-        estimated_bytes_per_flow=agent.table_bytes // count,
+        estimated_bytes_per_flow=agent.read_sizes().flow_bytes // count,
         admissions_per_s=time_events(
             agent, [build_event(number, 1) for number in new]
         ),
--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -61,6 +61,7 @@
         self.state = "ready"
         self.alive = True
         self.run_s = 0.03
+        self.run_count = 0
         self.answers: dict[int, bytes] = {}
         self.observers: dict[bytes, int] = {}
         self.cancelled: set[int] = set()
@@ -85,7 +86,8 @@
         path = message.opt.uri_path
         if path in (("health",), ("feed",)):
             return 0.001
-        self.world.note_run(self.name, message)
+        self.run_count += 1
+        self.world.note_run(message)
         return self.run_s
 
     def answer(self, message: aiocoap.Message) -> None:
@@ -546,7 +548,7 @@
         value = made_ms << 80 | 7 << 76 | 2 << 62 | number
         return uuid.UUID(int=value).bytes
 
-    def note_run(self, name: str, message: aiocoap.Message) -> None:
+    def note_run(self, message: aiocoap.Message) -> None:
         if message.code in coap.NON_IDEMPOTENT_CODES:
             self.runs[message.payload] += 1
         if message.opt.uri_host not in (None, SERVICE):
@@ -557,6 +559,11 @@
         for node in self.nodes.values():
             node.target.publish()
 
+    def find_list(self, caller: Caller) -> tuple[model.Endpoint, ...]:
+        service = self.entries[0].table.find_service(SERVICE_ADDRESS)
+        assert service is not None
+        return service.find_agents(caller.bucket)
+
     def count_flows(self) -> dict[str, int]:
         return {
             name: node.core.flow_count
--- a/tests/test_flows_machine.py
+++ b/tests/test_flows_machine.py
@@ -154,7 +154,9 @@
         assert flows <= len(self.world.callers), "flow with two owners"
         for node in alive:
             observers = len(node.target.observers)
-            assert observers == node.core.session_count, "observation leaked"
+            assert (
+                observers == node.core.read_sizes().sessions
+            ), "observation leaked"
 
 
 FlowsMachineTest = FlowsMachine.TestCase
