--- a/src/egretfork/entry/core.py
+++ b/src/egretfork/entry/core.py
@@ -4,7 +4,7 @@
 import datetime
 
 from egretfork import actions
-from egretfork import coap
+from egretfork import coapheader
 from egretfork import model
 from egretfork import reasons
 from egretfork.routing import ranking
@@ -47,9 +47,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatagramRejected:
-    """A datagram could not be read as what it should be."""
+    """A datagram was refused before its content was known."""
 
-    failure: reasons.Failure
+    reason: reasons.Drop
 
 
 Event = (
@@ -92,7 +92,7 @@
             case AnnouncementsChanged():
                 self._table.set_announcements(event.announcements)
             case DatagramRejected():
-                return [actions.CountReason(reasons.Drop.MALFORMED)]
+                return [actions.CountReason(event.reason)]
         return []
 
     def _forward(self, datagram: CallerDatagram) -> Action:
@@ -106,7 +106,7 @@
             return actions.CountReason(reasons.Drop.UNKNOWN_ADDRESS)
         if (
             len(payload) > MAX_PAYLOAD_BYTES
-            or coap.find_header_damage(payload) is not None
+            or coapheader.find_damage(payload) is not None
         ):
             return actions.CountReason(reasons.Drop.MALFORMED)
         service = service_table.service.name
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -9,6 +9,7 @@
 
     UNKNOWN_ADDRESS = "unknown_address"
     MALFORMED = "malformed"
+    UNTRUSTED_SENDER = "untrusted_sender"
     NO_CONFIGURATION = "no_configuration"
     NO_TARGETS = "no_targets"
     WRONG_SERVICE = "wrong_service"
@@ -29,7 +30,6 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     UNHEALTHY = "unhealthy"
-    STOPPING = "stopping"
     MISSING_REQUEST_KEY = "missing_request_key"
     BAD_OPTION = "bad_option"
     SUPERSEDED = "superseded"
@@ -65,7 +65,6 @@
     MEMBERS_CHANGING = "members_changing"
     QUORUM_AT_RISK = "quorum_at_risk"
     STORAGE_FAILED = "storage_failed"
-    SUPERSEDED = "superseded"
 
 
 class Retry(enum.StrEnum):
@@ -76,7 +75,6 @@
     TARGET_REFUSED = "target_refused"
     IDEMPOTENT_FAILURE = "idempotent_failure"
     BUDGET_EXHAUSTED = "budget_exhausted"
-    LEADER_CHANGED = "leader_changed"
 
 
 Reason = Drop | Refusal | Unknown | Retry | ControlRefusal
--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -141,6 +141,7 @@
     endpoint: model.Endpoint
     alive: bool = True
     sequence: int = 0
+    snapshot: int = 0
 
 
 @dataclasses.dataclass
@@ -150,6 +151,7 @@
     endpoint: model.Endpoint
     table: table.RoutingTable
     alive: bool = True
+    snapshot: int = 0
 
 
 @dataclasses.dataclass
@@ -296,6 +298,7 @@
         self.feed = 0
         self.incarnation = 1000
         self.keys = itertools.count()
+        self.snapshots = itertools.count(1)
 
     # Time.
     def after(self, delay_s: float, call: typing.Any, *rest: object) -> None:
@@ -411,18 +414,25 @@
             for item in self.announcements.values()
             if item.state is not State.LEFT
         )
-        for entry in self.entries:
-            delay = self.rng.uniform(*self.spread_s)
-            self.after(delay, self.update_entry, entry, current)
-        for node in self.nodes.values():
-            event = events.AnnouncementsChanged(current)
+        number = next(self.snapshots)
+        for member in (*self.entries, *self.nodes.values()):
             delay = self.rng.uniform(*self.spread_s)
-            self.after(delay, self.handle, node, event)
+            self.after(delay, self.learn, member, number, current)
 
-    def update_entry(
-        self, entry: Entry, known: tuple[model.TargetAnnouncement, ...]
+    def learn(
+        self,
+        member: Entry | Node,
+        number: int,
+        known: tuple[model.TargetAnnouncement, ...],
     ) -> None:
-        entry.table.set_announcements(known)
+        if number < member.snapshot:
+            # Gossip keeps the newest announcement of each target.
+            return
+        member.snapshot = number
+        if isinstance(member, Entry):
+            member.table.set_announcements(known)
+        else:
+            self.handle(member, events.AnnouncementsChanged(known))
 
     def form_group(self) -> None:
         """Form a record group of three agents, as control does."""
