--- a/src/egretfork/agent/sessions.py
+++ b/src/egretfork/agent/sessions.py
@@ -221,7 +221,13 @@
                 token = self._tokens.pop(due.key, b"")
                 result += self.cancel(flow, token)
                 continue
-            chosen = self._status.entries.choose(flow.entries, due.sent)
+            session = flow.find_session(self._tokens.get(due.key, b""))
+            earlier = session.unacknowledged if session is not None else 0
+            # Attempts count on from the notifications before this one, so
+            # that each entry gets its turn.
+            chosen = self._status.entries.choose(
+                flow.entries, earlier + due.sent
+            )
             result += screening.return_through(chosen, flow.key, due.payload)
         return result
 
