--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -61,6 +61,7 @@
         self.state = "ready"
         self.alive = True
         self.run_s = 0.03
+        self.run_count = 0
         self.answers: dict[int, bytes] = {}
         self.observers: dict[bytes, int] = {}
         self.cancelled: set[int] = set()
@@ -85,7 +86,8 @@
         path = message.opt.uri_path
         if path in (("health",), ("feed",)):
             return 0.001
-        self.world.note_run(self.name, message)
+        self.run_count += 1
+        self.world.note_run(message)
         return self.run_s
 
     def answer(self, message: aiocoap.Message) -> None:
@@ -139,6 +141,7 @@
     endpoint: model.Endpoint
     alive: bool = True
     sequence: int = 0
+    snapshot: int = 0
 
 
 @dataclasses.dataclass
@@ -148,6 +151,7 @@
     endpoint: model.Endpoint
     table: table.RoutingTable
     alive: bool = True
+    snapshot: int = 0
 
 
 @dataclasses.dataclass
@@ -185,6 +189,7 @@
         self.watches: dict[bytes, Watch] = {}
         self.message_id = world.rng.randrange(65536)
         self.numbers = itertools.count(1)
+        self.seen: set[int] = set()
 
     def request(
         self, code: codes.Code = codes.GET, key: bytes = b"", **options: object
@@ -236,8 +241,13 @@
         if kind is not coap.Kind.RESPONSE:
             return
         if message.mtype is types.CON:
+            # RFC 7252 section 4.2: a duplicate is acknowledged only.
+            is_new = message.mid not in self.seen
+            self.seen.add(message.mid)
             ack = coap.encode(coap.build_empty(types.ACK, message.mid))
             self.world.from_caller(self, ack)
+            if not is_new:
+                return
         self.exchanges[message.token].answers.append(message)
         watch = self.watches.get(message.token)
         if watch is not None:
@@ -288,6 +298,7 @@
         self.feed = 0
         self.incarnation = 1000
         self.keys = itertools.count()
+        self.snapshots = itertools.count(1)
 
     # Time.
     def after(self, delay_s: float, call: typing.Any, *rest: object) -> None:
@@ -403,18 +414,25 @@
             for item in self.announcements.values()
             if item.state is not State.LEFT
         )
-        for entry in self.entries:
-            delay = self.rng.uniform(*self.spread_s)
-            self.after(delay, self.update_entry, entry, current)
-        for node in self.nodes.values():
-            event = events.AnnouncementsChanged(current)
+        number = next(self.snapshots)
+        for member in (*self.entries, *self.nodes.values()):
             delay = self.rng.uniform(*self.spread_s)
-            self.after(delay, self.handle, node, event)
+            self.after(delay, self.learn, member, number, current)
 
-    def update_entry(
-        self, entry: Entry, known: tuple[model.TargetAnnouncement, ...]
+    def learn(
+        self,
+        member: Entry | Node,
+        number: int,
+        known: tuple[model.TargetAnnouncement, ...],
     ) -> None:
-        entry.table.set_announcements(known)
+        if number < member.snapshot:
+            # Gossip keeps the newest announcement of each target.
+            return
+        member.snapshot = number
+        if isinstance(member, Entry):
+            member.table.set_announcements(known)
+        else:
+            self.handle(member, events.AnnouncementsChanged(known))
 
     def form_group(self) -> None:
         """Form a record group of three agents, as control does."""
@@ -446,6 +464,12 @@
         for node in self.nodes.values():
             self.handle(node, events.ConfigurationChanged(configuration))
 
+    def chatter(self) -> None:
+        """Send requests of other callers, so that agents hear entries."""
+        for caller in itertools.islice(self.callers.values(), 2):
+            caller.request()
+        self.after(1.0, self.chatter)
+
     # Datagrams.
     def tick(self, node: Node) -> None:
         if node.alive and self.by_endpoint[node.endpoint] is node:
@@ -534,7 +558,7 @@
         value = made_ms << 80 | 7 << 76 | 2 << 62 | number
         return uuid.UUID(int=value).bytes
 
-    def note_run(self, name: str, message: aiocoap.Message) -> None:
+    def note_run(self, message: aiocoap.Message) -> None:
         if message.code in coap.NON_IDEMPOTENT_CODES:
             self.runs[message.payload] += 1
         if message.opt.uri_host not in (None, SERVICE):
@@ -545,6 +569,11 @@
         for node in self.nodes.values():
             node.target.publish()
 
+    def find_list(self, caller: Caller) -> tuple[model.Endpoint, ...]:
+        service = self.entries[0].table.find_service(SERVICE_ADDRESS)
+        assert service is not None
+        return service.find_agents(caller.bucket)
+
     def count_flows(self) -> dict[str, int]:
         return {
             name: node.core.flow_count
--- a/tests/test_flows_machine.py
+++ b/tests/test_flows_machine.py
@@ -38,6 +38,9 @@
         for number in range(4):
             self.world.add_agent(f"t{number}")
         self.world.run(3)
+        self.world.add_caller()
+        self.world.add_caller()
+        self.world.chatter()
         self.world.form_group()
         self.world.run(2)
         self.world.spread_s = (0.0, spread_s)
@@ -151,7 +154,9 @@
         assert flows <= len(self.world.callers), "flow with two owners"
         for node in alive:
             observers = len(node.target.observers)
-            assert observers == node.core.session_count, "observation leaked"
+            assert (
+                observers == node.core.read_sizes().sessions
+            ), "observation leaked"
 
 
 FlowsMachineTest = FlowsMachine.TestCase
