Pull by deadline and announce each request that begins to wait

Cause: a hint was urgent only if more requests waited than in the last hint sent, so a request that followed a pulled one was not announced; and a puller chose by queue length, not by the age of the first request. LoadHint and WorkHandover get the first deadline (fields at the end with defaults), a free slot stays reserved while a pull is unanswered, and an own request yields to a peer's that is due 60 ms earlier.

--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -23,6 +23,10 @@
 VOID_MARGIN = datetime.timedelta(milliseconds=200)
 MAX_MARGIN = datetime.timedelta(milliseconds=300)
 FOREIGN_MARGIN = datetime.timedelta(milliseconds=50)
+# An own request runs first unless a peer's is due this much earlier: a slot
+# stays idle for a round trip while a pull is answered.
+PULL_COST = datetime.timedelta(milliseconds=60)
+NEVER = datetime.timedelta.max
 # A leaving target gets no new work after 3 s (design, 1).
 DRAIN_GRACE = datetime.timedelta(seconds=2)
 
@@ -149,24 +153,28 @@
     def pump(self, now: datetime.timedelta) -> None:
         """Refuse what expires, start what can run, pull from peers."""
         self._expire_queue(now)
-        while self.count_free_slots(now) > 0:
+        while self.count_free_slots(now) > self.handover.pulls:
+            if self._pull(now):
+                continue
             work = self.queue.take(self._may_start)
             if work is None:
                 break
             self.runs.start(work, now)
-        self._pull(now)
 
     def _may_start(self, work: works.Work) -> bool:
         return work.granted or self._context.address not in work.tried
 
-    def _pull(self, now: datetime.timedelta) -> None:
+    def _pull(self, now: datetime.timedelta) -> bool:
+        """Ask for a peer's request if it should run before the own."""
         if self.is_draining(now):
-            return
-        while self.count_free_slots(now) > self.handover.pulls:
-            source = self._peers.choose_source(now, ())
-            if source is None:
-                return
-            self.handover.pull(source, now)
+            return False
+        first = self.queue.find(self._may_start)
+        before = NEVER if first is None else first.deadline - PULL_COST
+        source = self._peers.choose_source(now, before)
+        if source is None:
+            return False
+        self.handover.pull(source, now)
+        return True
 
     def _expire_queue(self, now: datetime.timedelta) -> None:
         expired: list[works.Work] = []
--- a/src/egretfork/agent/engine.py
+++ b/src/egretfork/agent/engine.py
@@ -15,6 +15,7 @@
 from egretfork.agent import peers
 from egretfork.agent import records
 from egretfork.agent import seals
+from egretfork.agent import work as works
 from egretfork import coap
 from egretfork import model
 from egretfork import reasons
@@ -25,6 +26,10 @@
     return 0
 
 
+def _is_movable(work: works.Work) -> bool:
+    return work.movable
+
+
 class RequestEngine:
     """Decides about the requests of one agent; opens no sockets.
 
@@ -205,13 +210,15 @@
         self._dispatcher.pump(now)
 
     def _read_load(self, now: datetime.timedelta) -> peers.Load:
+        first = self._dispatcher.queue.find(_is_movable)
         return peers.Load(
             flows=self._count_flows(),
             flow_limit=self._flow_limit,
             free_slots=self._dispatcher.count_free_slots(now),
-            waiting=len(self._dispatcher.queue),
+            waiting=self._dispatcher.handover.count_movable(),
             state=self._read_state(now),
             weight=1.0,
+            first_deadline=first.deadline if first else now,
         )
 
     def _read_state(self, now: datetime.timedelta) -> model.TargetState:
--- a/src/egretfork/agent/handover.py
+++ b/src/egretfork/agent/handover.py
@@ -121,16 +121,13 @@
             self._repeat_answer(pull, known, now)
             return
         work = self._queue.take(
-            lambda item: not item.foreign
-            and not item.granted
+            lambda item: item.movable
             and pull.puller not in item.tried
             and now < item.deadline
         )
         self._remember_answer(pull, work.number if work else 0)
         if work is None:
-            self._context.send(
-                pull.puller, wire.WorkHandover(pull.pull_id, None)
-            )
+            self._send_none(pull)
             return
         self._hand(work, pull.puller)
         self._send_handover(work, pull.pull_id, now)
@@ -157,9 +154,10 @@
             self._send_body(work, pull.pull_id, now)
             return
         if not number:
-            self._context.send(
-                pull.puller, wire.WorkHandover(pull.pull_id, None)
-            )
+            self._send_none(pull)
+
+    def _send_none(self, pull: wire.WorkPull) -> None:
+        self._context.send(pull.puller, wire.WorkHandover(pull.pull_id, None))
 
     def _send_body(
         self, work: works.Work, pull_id: int, now: datetime.timedelta
@@ -169,7 +167,21 @@
         body = msgspec.structs.replace(
             work.body, request_id=work.number, deadline_ms=left
         )
-        self._context.send(work.executor, wire.WorkHandover(pull_id, body))
+        first = self._queue.find(_is_movable)
+        first_left = first.deadline - now if first else now - now
+        self._context.send(
+            work.executor,
+            wire.WorkHandover(
+                pull_id,
+                body,
+                waiting=self.count_movable(),
+                first_deadline_ms=max(0, contexts.to_ms(first_left)),
+            ),
+        )
+
+    def count_movable(self) -> int:
+        """Return how many waiting requests peers may pull."""
+        return sum(map(_is_movable, self._queue))
 
     def _send_handover(
         self, work: works.Work, pull_id: int, now: datetime.timedelta
@@ -224,10 +236,12 @@
         """Take the request that a peer hands over in charge."""
         pull = self._pulls.pop(handover.pull_id, None)
         body = handover.request
+        source = self._peers.find(peer)
+        if source is not None and pull is not None:
+            source.note_queue(
+                handover.waiting, handover.first_deadline_ms, now
+            )
         if body is None:
-            source = self._peers.find(peer)
-            if source is not None and pull is not None:
-                source.waiting = 0
             return
         key = (body.origin, body.request_id)
         if key in self._ends.foreign:
@@ -353,3 +367,7 @@
             self._scheduler.retry(
                 work, outcomes.fail(reasons.Unknown.EXECUTOR_LOST), now
             )
+
+
+def _is_movable(work: works.Work) -> bool:
+    return work.movable
--- a/src/egretfork/agent/peers.py
+++ b/src/egretfork/agent/peers.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import datetime
-import typing
 
 from egretfork.agent import context as contexts
 from egretfork import model
@@ -13,7 +12,7 @@
 HINT_WINDOW = datetime.timedelta(seconds=1)
 MAX_HINTS_PER_WINDOW = 10
 # Hints that can wait leave room in the window for urgent ones.
-MAX_CALM_HINTS_PER_WINDOW = 5
+MAX_CALM_HINTS_PER_WINDOW = 2
 HINT_SPACING = datetime.timedelta(milliseconds=200)
 
 SERVING = frozenset(
@@ -29,12 +28,23 @@
         announcement: newest announcement.
         hint: latest hint, ``None`` if none has arrived.
         waiting: requests that wait there, lowered by own pulls.
+        first_deadline: deadline of the first of them.
     """
 
     announcement: model.TargetAnnouncement
     hint: wire.LoadHint | None = None
     hinted_at: datetime.timedelta = datetime.timedelta()
     waiting: int = 0
+    first_deadline: datetime.timedelta = datetime.timedelta()
+
+    def note_queue(
+        self, waiting: int, first_deadline_ms: int, now: datetime.timedelta
+    ) -> None:
+        """Take in what the peer says about its queue."""
+        self.waiting = waiting
+        left = datetime.timedelta(milliseconds=first_deadline_ms)
+        self.first_deadline = now + left
+        self.hinted_at = now
 
 
 class PeerTable:
@@ -70,8 +80,7 @@
         if hint.agent.incarnation < peer.announcement.incarnation:
             return
         peer.hint = hint
-        peer.hinted_at = now
-        peer.waiting = hint.waiting
+        peer.note_queue(hint.waiting, hint.first_deadline_ms, now)
 
     def addresses(self) -> tuple[model.Endpoint, ...]:
         """Return the addresses of all peers."""
@@ -131,23 +140,23 @@
         )
 
     def choose_source(
-        self,
-        now: datetime.timedelta,
-        excluded: typing.Collection[model.Endpoint],
+        self, now: datetime.timedelta, before: datetime.timedelta
     ) -> Peer | None:
-        """Return the peer with the most waiting requests."""
-        candidates = [
+        """Return the peer whose first request has the earliest deadline.
+
+        Args:
+            now: the current instant.
+            before: requests of later deadlines are of no interest.
+        """
+        candidates = (
             peer
-            for address, peer in self._peers.items()
+            for peer in self._peers.values()
             if peer.waiting > 0
-            and address not in excluded
+            and peer.first_deadline < before
             and now - peer.hinted_at <= HINT_LIFETIME
-        ]
-        if not candidates:
-            return None
-        most = max(peer.waiting for peer in candidates)
-        return self._context.rng.choice(
-            [peer for peer in candidates if peer.waiting == most]
+        )
+        return min(
+            candidates, key=lambda peer: peer.first_deadline, default=None
         )
 
 
@@ -161,6 +170,7 @@
     waiting: int
     state: model.TargetState
     weight: float
+    first_deadline: datetime.timedelta
 
 
 class HintSender:
@@ -173,6 +183,8 @@
             maxlen=MAX_HINTS_PER_WINDOW
         )
         self._last: Load | None = None
+        self._seen_waiting = 0
+        self._grown = False
 
     def offer(self, load: Load, now: datetime.timedelta) -> None:
         """Send a hint if the load warrants one and the rate allows it."""
@@ -186,14 +198,20 @@
         if not urgent and not self._may_send_calm(now):
             return
         self._last = load
+        self._grown = False
         self._sent.append(now)
-        self._send(load)
+        self._send(load, now)
 
     def _is_urgent(self, load: Load) -> bool:
+        # A request that began to wait since the last hint matters even if
+        # the number is the same: peers have lowered theirs by their pulls.
+        if load.waiting > self._seen_waiting:
+            self._grown = True
+        self._seen_waiting = load.waiting
         last = self._last
-        if last is None:
+        if last is None or load.state is not last.state:
             return True
-        return load.waiting > last.waiting or load.state is not last.state
+        return self._grown and load.waiting > 0
 
     def _may_send_calm(self, now: datetime.timedelta) -> bool:
         if not self._sent:
@@ -202,7 +220,8 @@
             return False
         return now - self._sent[-1] >= HINT_SPACING
 
-    def _send(self, load: Load) -> None:
+    def _send(self, load: Load, now: datetime.timedelta) -> None:
+        left = load.first_deadline - now if load.waiting else now - now
         hint = wire.LoadHint(
             service=self._context.service,
             agent=self._context.identity,
@@ -213,6 +232,7 @@
             waiting=load.waiting,
             state=load.state,
             weight=load.weight,
+            first_deadline_ms=max(0, contexts.to_ms(left)),
         )
         for address in self._table.addresses():
             self._context.send(address, hint)
--- a/src/egretfork/agent/work.py
+++ b/src/egretfork/agent/work.py
@@ -62,3 +62,8 @@
     def surely_not_run(self) -> bool:
         """Return whether no target has run it and none will."""
         return not (self.ran or self.in_doubt)
+
+    @property
+    def movable(self) -> bool:
+        """Return whether another agent may run it."""
+        return not (self.foreign or self.granted)
--- a/src/egretfork/bench/requests.py
+++ b/src/egretfork/bench/requests.py
@@ -275,6 +275,7 @@
 @click.command("requests")
 @click.option("--requests", default=100_000, show_default=True)
 @click.option("--overload-requests", default=20_000, show_default=True)
+@click.option("--first-seed", default=0, show_default=True)
 @click.option("--seeds", default=1, show_default=True)
 @click.option("--targets", default=7, show_default=True)
 @click.option("--slots", default=2, show_default=True)
@@ -286,6 +287,7 @@
 def command(
     requests: int,
     overload_requests: int,
+    first_seed: int,
     seeds: int,
     targets: int,
     slots: int,
@@ -300,7 +302,7 @@
     figures: Figures = {
         "waits": [
             measure_waits(requests, targets, slots, load, mean_s, keyed, seed)
-            for seed in range(seeds)
+            for seed in range(first_seed, first_seed + seeds)
             if requests
         ],
         "overload": [
@@ -314,7 +316,7 @@
                 keyed,
                 seed,
             )
-            for seed in range(seeds)
+            for seed in range(first_seed, first_seed + seeds)
             if overload_requests
         ],
     }
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -115,7 +115,11 @@
 
 
 class LoadHint(Message, frozen=True, tag=6):
-    """What an agent tells the other agents of its service about itself."""
+    """What an agent tells the other agents of its service about itself.
+
+    ``first_deadline_ms`` is the time left of the first waiting request
+    when the hint is sent.
+    """
 
     service: str
     agent: model.AgentIdentity
@@ -126,6 +130,7 @@
     waiting: int
     state: model.TargetState
     weight: float = 1.0
+    first_deadline_ms: int = 0
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
@@ -158,10 +163,16 @@
 
 
 class WorkHandover(Message, frozen=True, tag=8):
-    """Answer to a pull: a request, or none if nothing waits."""
+    """Answer to a pull: a request, or none if nothing waits.
+
+    ``waiting`` and ``first_deadline_ms`` describe the queue that is left,
+    as in ``LoadHint``.
+    """
 
     pull_id: int
     request: RequestBody | None
+    waiting: int = 0
+    first_deadline_ms: int = 0
 
 
 class WorkAccepted(Message, frozen=True, tag=9):
