Add a stateful test of several request engines

Four engines, one slot each, 5% loss, 10% duplicates, 1 to 40 ms delay; resends of four keys through all agents, cancellations, short deadlines, crashes, drains, failing and refusing targets, partitions, epochs that only some agents hear of. The oracle sees runs and outcomes only.

--- /dev/null
+++ b/tests/test_requests_machine.py
@@ -0,0 +1,203 @@
+"""Stateful test of several request engines over a lossy network.
+
+The oracle sees only what callers and targets see: the runs of each
+Request-Key, and the outcome that each submission got.
+"""
+
+import collections
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from egretfork.agent import events
+from egretfork import model
+from tests import request_support as support
+
+AGENTS = 4
+KEYS = 4
+INDICES = strategies.integers(0, AGENTS - 1)
+SPANS = strategies.sampled_from((5, 20, 100, 400))
+DEADLINES = strategies.sampled_from((30, 150, 600, 3000))
+
+
+class RequestsMachine(stateful.RuleBasedStateMachine):
+    """Agents of one service whose links and lives are not reliable."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def start(self, seed):
+        """Start all agents and form the first record group."""
+        self.fixture = support.Fixture(
+            count=AGENTS,
+            seed=seed,
+            slots=1,
+            loss=0.05,
+            duplicates=0.1,
+            delays=(1, 40),
+        )
+        self.addresses = self.fixture.addresses
+        self.keys = [self.fixture.make_key(i) for i in range(KEYS)]
+        self.attempts = collections.Counter()
+        self.submitted = {}
+        self.plain = 0
+        self.fixture.run(300)
+
+    @stateful.rule(
+        index=INDICES,
+        key=strategies.integers(0, KEYS - 1),
+        deadline_ms=DEADLINES,
+    )
+    def submit_keyed(self, index, key, deadline_ms):
+        """Send a non-idempotent request, or send it again elsewhere."""
+        attempt = self.attempts[key]
+        payload = b"key %d attempt %d" % (key, attempt)
+        request = self.fixture.submit(
+            self.addresses[index],
+            payload,
+            self.keys[key],
+            attempt,
+            deadline_ms,
+        )
+        self.submitted[request] = (key, attempt, payload, index)
+
+    @stateful.rule(key=strategies.integers(0, KEYS - 1))
+    def raise_attempt(self, key):
+        """Try again after a definite refusal, as callers may."""
+        attempt = self.attempts[key]
+        refused = any(
+            sent[:2] == (key, attempt) and self.kind(request) == "refused"
+            for request, sent in self.submitted.items()
+        )
+        if refused:
+            self.attempts[key] += 1
+
+    @stateful.rule(index=INDICES, deadline_ms=DEADLINES)
+    def submit_plain(self, index, deadline_ms):
+        """Send an idempotent request."""
+        self.plain += 1
+        payload = b"plain %d" % self.plain
+        request = self.fixture.submit(
+            self.addresses[index], payload, b"", 0, deadline_ms
+        )
+        self.submitted[request] = (None, 0, payload, index)
+
+    @stateful.rule(data=strategies.data())
+    def cancel(self, data):
+        """Cancel any request of a caller."""
+        if not self.submitted:
+            return
+        request = data.draw(strategies.sampled_from(sorted(self.submitted)))
+        index = self.submitted[request][3]
+        self.fixture.cancel(self.addresses[index], request)
+
+    @stateful.rule(span_ms=SPANS)
+    def wait(self, span_ms):
+        """Let time pass."""
+        self.fixture.run(span_ms)
+
+    @stateful.rule(index=INDICES)
+    def crash(self, index):
+        """End an agent without notice and start its next life."""
+        self.fixture.agents.stop(self.addresses[index])
+        self.fixture.agents.start(index)
+        self.fixture.agents.announce()
+
+    @stateful.rule(index=INDICES)
+    def drain(self, index):
+        """Ask an agent to leave."""
+        self.fixture.agents.feed(
+            self.addresses[index], events.DrainRequested()
+        )
+
+    @stateful.rule(index=INDICES)
+    def toggle_failing_target(self, index):
+        """Let a target lose its runs, or stop doing so."""
+        self.fixture.targets.failing ^= {self.addresses[index]}
+
+    @stateful.rule(index=INDICES)
+    def toggle_refusing_target(self, index):
+        """Let a target refuse runs, or stop doing so."""
+        self.fixture.targets.refusing ^= {self.addresses[index]}
+
+    @stateful.rule(index=INDICES)
+    def toggle_cut(self, index):
+        """Cut an agent off from the others, or connect it again."""
+        self.fixture.network.cut ^= {self.addresses[index]}
+
+    @stateful.rule(start=INDICES, told=strategies.sets(INDICES))
+    def change_epoch(self, start, told):
+        """Form a new record group that only some agents hear of yet."""
+        members = [self.addresses[(start + i) % AGENTS] for i in range(3)]
+        self.fixture.agents.form_group(members)
+        for index in told:
+            self.fixture.agents.configure(self.addresses[index])
+
+    @stateful.rule()
+    def spread_configuration(self):
+        """Tell all agents of the present record group."""
+        self.fixture.configure_all()
+
+    def kind(self, request):
+        """Return the kind of outcome of a request, if it has one."""
+        outcomes = self.fixture.outcomes.get(request)
+        return outcomes[0].kind.value if outcomes else None
+
+    @stateful.invariant()
+    def keep_promises(self):
+        """Check what callers and targets have seen."""
+        if not hasattr(self, "fixture"):
+            return
+        runs = collections.Counter(
+            payload for _, payload in self.fixture.targets.runs
+        )
+        self.check_runs(runs)
+        for request, outcomes in self.fixture.outcomes.items():
+            assert len(outcomes) == 1, f"{request} has {outcomes}"
+            self.check_outcome(request, outcomes[0], runs)
+
+    def check_runs(self, runs):
+        """Check that no key was run twice, whatever the attempts."""
+        by_key = collections.Counter()
+        for payload, count in runs.items():
+            if payload.startswith(b"key"):
+                by_key[payload.split()[1]] += count
+        for key, count in by_key.items():
+            assert count == 1, f"key {key} ran {count} times"
+
+    def check_outcome(self, request, outcome, runs):
+        """Check that an outcome fits what the targets saw."""
+        key, attempt, payload, _ = self.submitted[request]
+        if outcome.kind.value == "refused":
+            assert not runs[payload], f"{payload} ran and was refused"
+        if outcome.kind.value != "answered":
+            return
+        # A lower attempt is answered with the run of its key.
+        prefix = payload if key is None else b"key %d " % key
+        assert outcome.payload.startswith(b"done " + prefix), outcome
+
+    def teardown(self):
+        """Let everything end; each life of an agent must have answered."""
+        if not hasattr(self, "fixture"):
+            return
+        self.fixture.run(6000)
+        self.keep_promises()
+
+
+RequestsMachineTest = RequestsMachine.TestCase
+RequestsMachineTest.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=30,
+)
+
+
+class MachineSelfTest(unittest.TestCase):
+    """Guards the oracle: it must see a second run of a key."""
+
+    def test_second_run_is_seen(self):
+        machine = RequestsMachine()
+        machine.start(0)
+        address = model.Endpoint("10.0.0.1", 7000)
+        machine.fixture.targets.runs += [(address, b"key 1 attempt 0")] * 2
+        with self.assertRaises(AssertionError):
+            machine.keep_promises()
