Park unanswered pulls and keep the own queue first

Cause: a request that begins to wait needed hint, pull and handover (three trips) to reach a free slot, and a pull of a peer's older request left the slot idle for a round trip. A pull that finds nothing is parked for 0.5 s and answered by a later handover; a handover that finds no slot is returned, named by its pull so that a copy of an old return is not taken for a new one.

--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -23,10 +23,15 @@
 VOID_MARGIN = datetime.timedelta(milliseconds=200)
 MAX_MARGIN = datetime.timedelta(milliseconds=300)
 FOREIGN_MARGIN = datetime.timedelta(milliseconds=50)
-# An own request runs first unless a peer's is due this much earlier: a slot
-# stays idle for a round trip while a pull is answered.
-PULL_COST = datetime.timedelta(milliseconds=60)
-NEVER = datetime.timedelta.max
+FREE_RETRIES = (
+    reasons.Refusal.DRAINING.value,
+    reasons.Refusal.NO_CAPACITY.value,
+)
+# Run times vary: a request is admitted only if three mean run times are left
+# after its wait, and started only with two, as one that then misses its
+# deadline takes the slot from one that would meet it.
+ADMISSION_RESERVE = 3.0
+START_RESERVE = 2.0
 # A leaving target gets no new work after 3 s (design, 1).
 DRAIN_GRACE = datetime.timedelta(seconds=2)
 
@@ -137,10 +142,20 @@
         if self.queue.full:
             return reasons.Refusal.QUEUE_FULL
         wait = self._estimate_wait(now)
-        if now + wait >= work.deadline - read_margin(work):
+        reserve = self._read_reserve(work, ADMISSION_RESERVE)
+        if now + wait + reserve >= work.deadline - read_margin(work):
             return reasons.Refusal.NO_CAPACITY
         return None
 
+    def _read_reserve(
+        self, work: works.Work, factor: float
+    ) -> datetime.timedelta:
+        """Return the time to keep for a run, at most half of all time."""
+        mean = self.runs.mean_run
+        if mean is None:
+            return datetime.timedelta()
+        return min(mean * factor, (work.deadline - work.arrived) / 2)
+
     def _estimate_wait(self, now: datetime.timedelta) -> datetime.timedelta:
         """Return how long the last of all waiting requests will wait."""
         mean = self.runs.mean_run
@@ -160,17 +175,22 @@
             if work is None:
                 break
             self.runs.start(work, now)
+        self.handover.offer(now)
+
+    def has_room(self, now: datetime.timedelta) -> bool:
+        """Return whether a slot is free for a peer's request."""
+        if self.is_draining(now):
+            return False
+        return self.count_free_slots(now) > self.handover.pulls
 
     def _may_start(self, work: works.Work) -> bool:
         return work.granted or self._context.address not in work.tried
 
     def _pull(self, now: datetime.timedelta) -> bool:
-        """Ask for a peer's request if it should run before the own."""
-        if self.is_draining(now):
+        """Ask for a peer's request if no own one can start."""
+        if self.is_draining(now) or self.queue.find(self._may_start):
             return False
-        first = self.queue.find(self._may_start)
-        before = NEVER if first is None else first.deadline - PULL_COST
-        source = self._peers.choose_source(now, before)
+        source = self._peers.choose_source(now)
         if source is None:
             return False
         self.handover.pull(source, now)
@@ -178,10 +198,13 @@
 
     def _expire_queue(self, now: datetime.timedelta) -> None:
         expired: list[works.Work] = []
+        mean = self.runs.mean_run or datetime.timedelta()
+        horizon = now + MAX_MARGIN + mean * START_RESERVE
         for work in self.queue:
-            if work.deadline > now + MAX_MARGIN:
+            if work.deadline > horizon:
                 break
-            if work.deadline - read_margin(work) <= now:
+            reserve = self._read_reserve(work, START_RESERVE)
+            if work.deadline - read_margin(work) - reserve <= now:
                 expired.append(work)
         for work in expired:
             self.queue.remove(work)
@@ -239,8 +262,9 @@
         if not work.granted:
             if work.foreign or not self._has_candidate(work):
                 return False
-        # A planned stop must not use up the budget kept for failures.
-        if outcome.reason == reasons.Refusal.DRAINING:
+        # Neither a planned stop nor a slot that was taken in the meantime
+        # uses up the budget kept for failures.
+        if outcome.reason in FREE_RETRIES:
             return True
         if self._budget.spend():
             return True
--- a/src/egretfork/agent/handover.py
+++ b/src/egretfork/agent/handover.py
@@ -25,20 +25,41 @@
 CANCEL_RESEND = datetime.timedelta(milliseconds=100)
 MAX_CANCEL_SENDS = 6
 MAX_ANSWERED_PULLS = 1_024
+# The origin stops using a parked pull before the puller forgets it.
+PARK_OFFER_LIFETIME = datetime.timedelta(milliseconds=500)
+PARK_LIFETIME = datetime.timedelta(milliseconds=700)
 
 
 @dataclasses.dataclass(slots=True)
 class Pull:
-    """A question for work that a peer has not answered yet."""
+    """A question for work to a peer.
+
+    ``transit`` is the time that the peer's message may have travelled; it
+    is known once the peer has answered that nothing waits. The pull is
+    then parked: the peer may still hand a request over, but no slot is
+    kept free for it.
+    """
 
     peer: model.Endpoint
     asked: datetime.timedelta
     sends: int = 0
+    transit: datetime.timedelta | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parked:
+    """A peer's pull that waits for a request."""
+
+    pull: wire.WorkPull
+    until: datetime.timedelta
 
 
 class Scheduler(typing.Protocol):
     """Takes requests back into the queue and fills slots."""
 
+    def has_room(self, now: datetime.timedelta) -> bool:
+        """Return whether a slot is free for a peer's request."""
+
     def accept_foreign(
         self, work: works.Work, now: datetime.timedelta
     ) -> None:
@@ -79,6 +100,8 @@
         self._queue = waiting
         self._scheduler = scheduler
         self._pulls: dict[int, Pull] = {}
+        self._unanswered = 0
+        self._parked: dict[model.Endpoint, Parked] = {}
         self._answered: collections.OrderedDict[
             tuple[model.Endpoint, int], int
         ] = collections.OrderedDict()
@@ -87,21 +110,45 @@
     @property
     def pulls(self) -> int:
         """Return how many pulls are unanswered."""
-        return len(self._pulls)
+        return self._unanswered
 
     def pull(self, peer: peers.Peer, now: datetime.timedelta) -> None:
         """Ask a peer for a waiting request."""
         peer.waiting = max(0, peer.waiting - 1)
         pull_id = self._context.next_id()
-        self._pulls[pull_id] = Pull(peer.announcement.address, now)
+        address = peer.announcement.address
+        self._pulls[pull_id] = Pull(address, now)
+        self._unanswered += 1
         self._send_pull(pull_id, now)
 
+    def _forget_pull(self, pull_id: int) -> Pull | None:
+        pull = self._pulls.pop(pull_id, None)
+        if pull is None:
+            return None
+        if pull.transit is None:
+            self._unanswered -= 1
+        return pull
+
+    def _park(self, pull_id: int, now: datetime.timedelta) -> None:
+        pull = self._pulls.get(pull_id)
+        if pull is None or pull.transit is not None:
+            return
+        pull.transit = now - pull.asked
+        self._unanswered -= 1
+        self._context.timers.schedule(
+            now + PARK_LIFETIME,
+            lambda later: self._drop_parked(pull_id),
+        )
+
+    def _drop_parked(self, pull_id: int) -> None:
+        self._forget_pull(pull_id)
+
     def _send_pull(self, pull_id: int, now: datetime.timedelta) -> None:
         pull = self._pulls.get(pull_id)
-        if pull is None:
+        if pull is None or pull.transit is not None:
             return
         if pull.sends >= MAX_PULL_SENDS:
-            del self._pulls[pull_id]
+            self._forget_pull(pull_id)
             self._context.count(reasons.Retry.PEER_TIMEOUT)
             return
         pull.sends += 1
@@ -127,9 +174,35 @@
         )
         self._remember_answer(pull, work.number if work else 0)
         if work is None:
+            self._parked.pop(pull.puller, None)
+            until = now + PARK_OFFER_LIFETIME
+            self._parked[pull.puller] = Parked(pull, until)
             self._send_none(pull)
             return
-        self._hand(work, pull.puller)
+        self._hand(work, pull)
+        self._send_handover(work, pull.pull_id, now)
+
+    def offer(self, now: datetime.timedelta) -> None:
+        """Hand waiting requests to peers whose pulls are parked."""
+        while self._parked and self._queue.find(_is_movable):
+            _, parked = self._parked.popitem()
+            if parked.until < now:
+                self._parked.clear()
+                return
+            self._hand_parked(parked.pull, now)
+
+    def _hand_parked(
+        self, pull: wire.WorkPull, now: datetime.timedelta
+    ) -> None:
+        work = self._queue.take(
+            lambda item: item.movable
+            and pull.puller not in item.tried
+            and now < item.deadline
+        )
+        if work is None:
+            return
+        self._remember_answer(pull, work.number)
+        self._hand(work, pull)
         self._send_handover(work, pull.pull_id, now)
 
     def _remember_answer(self, pull: wire.WorkPull, number: int) -> None:
@@ -137,8 +210,10 @@
         if len(self._answered) > MAX_ANSWERED_PULLS:
             self._answered.popitem(last=False)
 
-    def _hand(self, work: works.Work, puller: model.Endpoint) -> None:
+    def _hand(self, work: works.Work, pull: wire.WorkPull) -> None:
+        puller = pull.puller
         work.stage = works.Stage.HANDED
+        work.pull_id = pull.pull_id
         work.executor = puller
         peer = self._peers.find(puller)
         work.executor_life = peer.announcement.identity if peer else None
@@ -234,15 +309,16 @@
         now: datetime.timedelta,
     ) -> None:
         """Take the request that a peer hands over in charge."""
-        pull = self._pulls.pop(handover.pull_id, None)
         body = handover.request
         source = self._peers.find(peer)
-        if source is not None and pull is not None:
+        if source is not None and handover.pull_id in self._pulls:
             source.note_queue(
                 handover.waiting, handover.first_deadline_ms, now
             )
         if body is None:
+            self._park(handover.pull_id, now)
             return
+        pull = self._forget_pull(handover.pull_id)
         key = (body.origin, body.request_id)
         if key in self._ends.foreign:
             self._accept(peer, body)
@@ -251,10 +327,15 @@
         # with its deadline; the origin takes the request back.
         if pull is None or self._ends.has_ended(key):
             return
+        if pull.transit is not None and not self._scheduler.has_room(now):
+            self._context.send(peer, _make_bounce(body, handover.pull_id))
+            return
         self._accept(peer, body)
-        # The handover has travelled for no longer than since the pull.
+        # The handover has travelled for no longer than since the pull, and
+        # about as long as the earlier answer if the pull was parked.
+        transit = now - pull.asked if pull.transit is None else pull.transit
         left = datetime.timedelta(milliseconds=body.deadline_ms)
-        deadline = now + left - (now - pull.asked)
+        deadline = now + left - transit
         work = works.Work(body.request_id, body, deadline, True, now)
         self._scheduler.accept_foreign(work, now)
 
@@ -283,6 +364,8 @@
         if work is None:
             self._context.count(reasons.Drop.UNMATCHED_ANSWER)
             return
+        if _is_stale_bounce(result, work):
+            return
         outcome = executions.Outcome(
             result.kind, result.payload, result.reason
         )
@@ -318,7 +401,8 @@
         if work.cancelled:
             self._ends.refuse(work, reasons.Refusal.CANCELLED, now)
             return
-        work.tried |= {peer}
+        if outcome.reason != reasons.Refusal.NO_CAPACITY:
+            work.tried |= {peer}
         self._scheduler.retry(work, outcome, now)
 
     def cancel(self, work: works.Work, now: datetime.timedelta) -> None:
@@ -371,3 +455,26 @@
 
 def _is_movable(work: works.Work) -> bool:
     return work.movable
+
+
+def _encode_pull_id(pull_id: int) -> bytes:
+    return pull_id.to_bytes(8, "big")
+
+
+def _make_bounce(body: wire.RequestBody, pull_id: int) -> wire.WorkResult:
+    """Return a handover whose slot was taken; names the pull."""
+    return wire.WorkResult(
+        body.request_id,
+        wire.WorkResultKind.REFUSED,
+        _encode_pull_id(pull_id),
+        reasons.Refusal.NO_CAPACITY.value,
+    )
+
+
+def _is_stale_bounce(result: wire.WorkResult, work: works.Work) -> bool:
+    """Return whether a bounce is of an earlier handover to the peer."""
+    return (
+        result.kind is wire.WorkResultKind.REFUSED
+        and result.reason == reasons.Refusal.NO_CAPACITY
+        and result.payload != _encode_pull_id(work.pull_id)
+    )
--- a/src/egretfork/agent/peers.py
+++ b/src/egretfork/agent/peers.py
@@ -139,21 +139,12 @@
             if now - peer.hinted_at <= HINT_LIFETIME
         )
 
-    def choose_source(
-        self, now: datetime.timedelta, before: datetime.timedelta
-    ) -> Peer | None:
-        """Return the peer whose first request has the earliest deadline.
-
-        Args:
-            now: the current instant.
-            before: requests of later deadlines are of no interest.
-        """
+    def choose_source(self, now: datetime.timedelta) -> Peer | None:
+        """Return the peer whose first request has the earliest deadline."""
         candidates = (
             peer
             for peer in self._peers.values()
-            if peer.waiting > 0
-            and peer.first_deadline < before
-            and now - peer.hinted_at <= HINT_LIFETIME
+            if peer.waiting > 0 and now - peer.hinted_at <= HINT_LIFETIME
         )
         return min(
             candidates, key=lambda peer: peer.first_deadline, default=None
--- a/src/egretfork/agent/work.py
+++ b/src/egretfork/agent/work.py
@@ -33,6 +33,7 @@
         arrived: instant at which this agent took charge.
         executor: peer to which the request was handed.
         executor_life: the peer's identity at that time.
+        pull_id: pull that the latest handover answers.
         run_id: run in progress, 0 if there is none.
         sent: messages of the current step sent so far.
         cancelled: the caller no longer wants the outcome.
@@ -50,6 +51,7 @@
     stage: Stage = Stage.WAITING
     executor: model.Endpoint | None = None
     executor_life: model.AgentIdentity | None = None
+    pull_id: int = 0
     run_id: int = 0
     sent: int = 0
     cancelled: bool = False
