Keep more time for the run when admitting requests

Cause: requests that were started with two mean run times left missed their deadline in 5% of cases and held their slot until they ended.

--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -27,11 +27,11 @@
     reasons.Refusal.DRAINING.value,
     reasons.Refusal.NO_CAPACITY.value,
 )
-# Run times vary: a request is admitted only if three mean run times are left
-# after its wait, and started only with two, as one that then misses its
+# Run times vary: a request is admitted only if five mean run times are left
+# after its wait, and started only with four, as one that then misses its
 # deadline takes the slot from one that would meet it.
-ADMISSION_RESERVE = 3.0
-START_RESERVE = 2.0
+ADMISSION_RESERVE = 5.0
+START_RESERVE = 4.0
 # A leaving target gets no new work after 3 s (design, 1).
 DRAIN_GRACE = datetime.timedelta(seconds=2)
 
