Answer members on the connection of their request

Cause: replies between members went over a second connection, so that neither connection carried data that also acknowledges; every message also carried the sender's address.

Changes of role, leader and version are logged and set as gauges; the host of the settings is checked.

--- a/src/egretfork/control/entries.py
+++ b/src/egretfork/control/entries.py
@@ -143,6 +143,8 @@
     | HelloReply
 )
 
+ReplyMessage = VoteReply | AppendReply | HelloReply
+
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True, tag="peer"):
     """A message between members.
@@ -150,13 +152,11 @@
     Attributes:
         sender: identity of the sending member.
         receiver: identity that is addressed; others discard the message.
-        address: where the sender is reached.
         sequence: write sequence of the sender.
     """
 
     sender: str
     receiver: str
-    address: model.Endpoint
     sequence: int
     message: PeerMessage
 
--- a/src/egretfork/control/program.py
+++ b/src/egretfork/control/program.py
@@ -51,6 +51,10 @@
     data_folder: str
     gossip: gossip_settings.GossipSettings | None = None
 
+    def __post_init__(self) -> None:
+        """Check the address of the process."""
+        settings.check_endpoint(f"{self.host}:{self.port}", "host")
+
     @property
     def address(self) -> model.Endpoint:
         """Return the TCP address of the process."""
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -1,6 +1,7 @@
 """Sockets and files of a control process; makes no decisions."""
 
 import asyncio
+import dataclasses
 import datetime
 import logging
 import typing
@@ -34,6 +35,26 @@
 UNACKNOWLEDGED_MAX_MS = 4000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    """Connection on which the message being handled arrived."""
+
+    sender: str
+    client: bytes
+
+
+_NO_ROUTE = _Route("", b"")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """State whose changes are logged."""
+
+    role: str = ""
+    leader: str = ""
+    version: int = 0
+
+
 class Dissemination(typing.Protocol):
     """What control needs of the gossip service."""
 
@@ -69,7 +90,8 @@
         self._context: zmq.asyncio.Context | None = None
         self._router: zmq.asyncio.Socket | None = None
         self._peers: dict[model.Endpoint, zmq.asyncio.Socket] = {}
-        self._addresses: dict[str, model.Endpoint] = {}
+        self._route = _NO_ROUTE
+        self._last_report = _Report()
 
     @property
     def registry(self) -> metrics.Metrics:
@@ -130,19 +152,32 @@
                 continue
             self._on_frame(frames[0], frames[1])
 
+    async def _receive_replies(self, peer: zmq.asyncio.Socket) -> None:
+        while not self.should_stop:
+            frames = await peer.recv_multipart()
+            self._on_frame(b"", frames[-1])
+
     def _on_frame(self, client: bytes, data: bytes) -> None:
         incoming = api.decode_incoming(data, client.hex())
         if isinstance(incoming, reasons.Failure):
             self._count_malformed(incoming.step, incoming.detail)
-        elif not isinstance(incoming, entries.Envelope):
+        elif isinstance(incoming, entries.Envelope):
+            self._on_envelope(client, incoming)
+        elif client:
             self._handle(core.QueryReceived(client, incoming))
-        elif incoming.receiver == self._core.consensus.identity:
-            self._addresses[incoming.sender] = incoming.address
-            self._handle(
-                events.Received(
-                    incoming.sender, incoming.sequence, incoming.message
-                )
+
+    def _on_envelope(self, client: bytes, envelope: entries.Envelope) -> None:
+        if envelope.receiver != self._core.consensus.identity:
+            return
+        # A reply goes back on the connection of its request, which saves
+        # the segments that only acknowledge.
+        self._route = _Route(envelope.sender, client)
+        self._handle(
+            events.Received(
+                envelope.sender, envelope.sequence, envelope.message
             )
+        )
+        self._route = _NO_ROUTE
 
     def _count_malformed(self, step: str, detail: str) -> None:
         self._registry.count(reasons.Drop.MALFORMED)
@@ -156,6 +191,33 @@
         except storage.StorageError as error:
             self._report_storage(str(error))
             self._handle(core.SaveFailed(str(error)))
+        self._report_changes()
+
+    def _report_changes(self) -> None:
+        consensus = self._core.consensus
+        report = _Report(
+            consensus.role,
+            consensus.leader,
+            self._core.configuration.version,
+        )
+        if report == self._last_report:
+            return
+        self._last_report = report
+        leads = consensus.leading is not None
+        for name, description, value in (
+            ("control_term", "Current term.", consensus.term),
+            ("control_leads", "Whether this member leads.", leads),
+            ("control_version", "Newest known version.", report.version),
+        ):
+            self._registry.set_gauge(name, description, float(value))
+        logs.write(
+            LOGGER,
+            "control_state",
+            step="consensus",
+            peer=report.leader,
+            detail=f"{report.role} in term {consensus.term},"
+            f" version {report.version}",
+        )
 
     def _report_storage(self, detail: str) -> None:
         self._registry.count(reasons.ControlRefusal.STORAGE_FAILED)
@@ -181,17 +243,21 @@
                 self._files.save(action)
 
     def _send_peer(self, action: events.Send) -> None:
-        address = self._find_address(action.receiver)
-        if address is None:
-            return
         envelope = entries.Envelope(
             sender=self._core.consensus.identity,
             receiver=action.receiver,
-            address=self._address,
             sequence=self._files.sequence,
             message=action.message,
         )
-        self._send(self._connect(address), [api.encode(envelope)])
+        data = api.encode(envelope)
+        route = self._route
+        replies = isinstance(action.message, entries.ReplyMessage)
+        if replies and route.sender == action.receiver and self._router:
+            self._send(self._router, [route.client, data])
+            return
+        address = self._find_address(action.receiver)
+        if address is not None:
+            self._send(self._connect(address), [data])
 
     def _find_address(self, identity: str) -> model.Endpoint | None:
         found = (
@@ -199,7 +265,7 @@
             for member in self._core.consensus.log.members
             if member.identity == identity
         )
-        return next(found, self._addresses.get(identity))
+        return next(found, None)
 
     def _connect(self, address: model.Endpoint) -> zmq.asyncio.Socket:
         known = self._peers.get(address)
@@ -217,6 +283,7 @@
         peer.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
         peer.connect(f"tcp://{address}")
         self._peers[address] = peer
+        self.add_future(self._receive_replies(peer))
         return peer
 
     def _answer(self, action: core.Answer) -> None:
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -274,7 +274,6 @@
         envelope = entries.Envelope(
             member.identity,
             action.receiver,
-            member.address,
             sequence,
             action.message,
         )
