Offer deltas above 350 bytes and lower the rate to 4,500 bytes/s

With a change of 20 services (one piece of 814 bytes) a node was pushed the piece by up to 8 peers in one second: up to 10,290 bytes sent plus received, against the limit of 8,000 (50 nodes). Ruled out: the window of pieces alone (8,358 with 2 pieces instead of 4) and the delay of the first resend (8,753 to 10,290 with 1 s instead of 0.5 s).

Larger deltas are now offered and pulled once.

--- a/src/egretfork/gossip/core.py
+++ b/src/egretfork/gossip/core.py
@@ -20,6 +20,8 @@
 from egretfork import wire
 
 FAN_OUT = 4
+# A node receives a push from a random number of peers, sometimes from 12.
+MAX_PUSHED_BYTES = 350
 DIGEST_PERIOD = datetime.timedelta(seconds=1)
 FLUSH_PERIOD = datetime.timedelta(milliseconds=100)
 MAINTENANCE_PERIOD = datetime.timedelta(milliseconds=500)
@@ -178,7 +180,9 @@
         self._actions.append(events.UseConfiguration(self._history.newest))
         self._puller.finish(order)
         self._confirmations.set_version(order.version)
-        push = piece or messages.Offer("", order, self._history.checksum)
+        push: wire.Message = messages.Offer("", order, self._history.checksum)
+        if piece is not None and len(piece.data) <= MAX_PUSHED_BYTES:
+            push = piece
         for peer in self._peers.choose(FAN_OUT, now):
             self._send(budget.Priority.CONFIGURATION, peer, push)
         for address, message in self._subscribers.push_all(now):
--- a/src/egretfork/gossip/exchange.py
+++ b/src/egretfork/gossip/exchange.py
@@ -12,7 +12,7 @@
 from egretfork import wire
 
 MAX_BUCKETS_PER_REQUEST = 8
-MAX_CELL_DATAGRAMS = 3
+MAX_CELL_DATAGRAMS = 2
 # More news than this in one answer means that this node was behind; what
 # it learns is then not new to others.
 MAX_PULLED_NEWS = 8
--- a/src/egretfork/gossip/settings.py
+++ b/src/egretfork/gossip/settings.py
@@ -25,10 +25,10 @@
     seeds: tuple[str, ...] = ()
     rate_bytes_per_s: typing.Annotated[
         int, msgspec.Meta(ge=2_000, le=10_000_000)
-    ] = 5_500
+    ] = 4_500
     burst_bytes: typing.Annotated[
         int, msgspec.Meta(ge=2_000, le=10_000_000)
-    ] = 2_500
+    ] = 2_200
 
     def __post_init__(self) -> None:
         """Check the form of the seeds.
--- a/src/egretfork/gossip/transfer.py
+++ b/src/egretfork/gossip/transfer.py
@@ -10,9 +10,9 @@
 from egretfork import model
 from egretfork import reasons
 
-WINDOW_PIECES = 4
+WINDOW_PIECES = 2
 RESEND_DELAY = datetime.timedelta(seconds=2)
-FIRST_RESEND_DELAY = datetime.timedelta(milliseconds=500)
+FIRST_RESEND_DELAY = datetime.timedelta(seconds=1)
 MAX_ATTEMPTS = 4
 MAX_PIECES = 8_192
 CACHED_TRANSFERS = 8
