Drop subscriptions that an agent or its removal ended

Control learned that all nodes had a version only after 28 to 33 s: an entry waited for agents whose lost Unsubscribe left a subscription for 60 s, and for dead agents without end. An agent now answers an entry that it does not use with Unsubscribe; removed targets no longer count, and forget also takes the name of an agent.

--- a/src/egretfork/bench/network.py
+++ b/src/egretfork/bench/network.py
@@ -153,8 +153,8 @@
     ) -> float:
         """Run until a condition holds; return the seconds it took.
 
-        The condition is checked each ``step`` seconds; the limit is returned if it
-        does not hold by then.
+        The condition is checked each ``step`` seconds; the limit is
+        returned if it does not hold by then.
         """
         start_us = self.now_us
         while self.now_us - start_us < limit * SECOND_US:
--- a/src/egretfork/gossip/agent.py
+++ b/src/egretfork/gossip/agent.py
@@ -135,9 +135,13 @@
         now: datetime.timedelta,
     ) -> None:
         """Take over a newer version, or begin to pull it if it differs."""
+        link = self._links.find(peer)
+        if link is None:
+            # The entry did not receive that the agent uses another one.
+            message = messages.Unsubscribe(self._identity)
+            self._send(budget.Priority.EXCHANGE, peer, message)
         if order == self._order:
             # The entry repeats what it did not see confirmed.
-            link = self._links.find(peer)
             if link is not None:
                 link.due_at = now
             return
--- a/src/egretfork/gossip/core.py
+++ b/src/egretfork/gossip/core.py
@@ -391,11 +391,7 @@
         self._exchange.merge(messages.RecordBatch(nodes=(self._record,)), now)
 
     def _forget(self, name: str, now: datetime.timedelta) -> None:
-        known = self._exchange.records.nodes.get(name)
-        if known is None or known.left:
-            return
-        record = msgspec.structs.replace(known, left=True)
-        self._exchange.merge(messages.RecordBatch(nodes=(record,)), now)
+        self._exchange.merge(self._exchange.mark_left(name), now)
 
     def _leave(self, now: datetime.timedelta) -> None:
         self._leaving = True
--- a/src/egretfork/gossip/exchange.py
+++ b/src/egretfork/gossip/exchange.py
@@ -4,6 +4,8 @@
 import datetime
 import random
 
+import msgspec
+
 from egretfork.gossip import membership
 from egretfork.gossip import messages
 from egretfork.gossip import store
@@ -91,6 +93,17 @@
         names = dict.fromkeys(sorted(self.records.list_service(service)))
         return self._collect(names, {}, names)
 
+    def mark_left(self, name: str) -> messages.RecordBatch:
+        """Return the statement that a node or an agent has left."""
+        node = self.records.nodes.get(name)
+        target = self.records.targets.get(name)
+        return messages.RecordBatch(
+            nodes=(msgspec.structs.replace(node, left=True),) if node else (),
+            targets=(
+                (store.mark_left(target.announcement),) if target else ()
+            ),
+        )
+
     def ask(self, hashes: bytes) -> messages.BucketRequest | None:
         """Return the request that follows from a peer's checksums."""
         buckets = self.records.find_different_buckets(hashes)
--- a/src/egretfork/gossip/shell.py
+++ b/src/egretfork/gossip/shell.py
@@ -140,7 +140,7 @@
         self._handle(events.Heard(agent_name))
 
     def forget(self, node: str) -> None:
-        """Remove an entry or control process that is gone for good."""
+        """Remove a process that is gone for good, also an agent."""
         self._handle(events.Forget(node))
 
     def confirmed_versions(self) -> tuple[NodeVersion, ...]:
--- a/src/egretfork/gossip/subscription.py
+++ b/src/egretfork/gossip/subscription.py
@@ -168,9 +168,17 @@
             if now - subscriber.heard_at >= SILENCE_LIMIT
         ]
         for subscriber in silent:
-            if not self._exchange.members.is_suspect(subscriber.agent.name):
+            if not self._is_visible_suspect(subscriber.agent.name):
                 del self._by_agent[subscriber.agent.name]
 
+    def _is_visible_suspect(self, name: str) -> bool:
+        record = self._exchange.records.targets.get(name)
+        return (
+            record is not None
+            and record.suspected_at is not None
+            and record.expired_at is None
+        )
+
     def all_confirmed(self) -> bool:
         """Return whether all agents have the entry's version."""
         version = self._history.order.version
--- a/tests/test_gossip_agents.py
+++ b/tests/test_gossip_agents.py
@@ -150,3 +150,26 @@
         cluster.network.handle(control, events.Forget("entry-3"))
         cluster.run(5)
         self.assertEqual(self.list_versions(cluster)["entry-3"], 1)
+
+    def test_lost_unsubscription(self) -> None:
+        """An entry must not wait for an agent that uses another one."""
+        cluster = self.start(agents=1)
+        entries = {f"entry-{number}" for number in range(5)}
+        cluster.cut({"a0"}, entries)
+        cluster.run(90)
+        cluster.path.cuts.clear()
+        cluster.run(5)
+        cluster.publish(gossip_network.make_configuration(2))
+        cluster.run(15)
+        self.assertEqual(set(self.list_versions(cluster).values()), {2})
+
+    def test_forgotten_agent_is_no_longer_waited_for(self) -> None:
+        """A dead agent must not hold back confirmations for ever."""
+        cluster = self.start(agents=2)
+        cluster.kill("a0")
+        cluster.run(70)
+        control = cluster.processes["control-0"]
+        cluster.network.handle(control, events.Forget("a0"))
+        cluster.publish(gossip_network.make_configuration(2))
+        cluster.run(20)
+        self.assertEqual(set(self.list_versions(cluster).values()), {2})
