--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -31,6 +31,7 @@
 TICK_S = 0.05
 CALLER_TIMEOUT_S = 2.0
 CALLER_RETRIES = 4
+RUN_QUERY = "run_ms="
 HALF_SEQUENCE = 1 << 23
 State = model.TargetState
 
@@ -163,6 +164,8 @@
     message_id: int
     tries: int = 0
     acknowledged: bool = False
+    started_s: float = 0.0
+    answered_s: float | None = None
     answers: list[aiocoap.Message] = dataclasses.field(default_factory=list)
 
 
@@ -210,6 +213,7 @@
             key = key or self.world.make_key()
             coap.set_opaque_option(message, coap.REQUEST_KEY, key)
         exchange = Exchange(payload, coap.encode(message), message.mid)
+        exchange.started_s = self.world.now_s
         self.exchanges[token] = exchange
         self.transmit(exchange, CALLER_TIMEOUT_S)
         return exchange
@@ -248,7 +252,10 @@
             self.world.from_caller(self, ack)
             if not is_new:
                 return
-        self.exchanges[message.token].answers.append(message)
+        exchange = self.exchanges[message.token]
+        exchange.answers.append(message)
+        if exchange.answered_s is None:
+            exchange.answered_s = self.world.now_s
         watch = self.watches.get(message.token)
         if watch is not None:
             self.follow(watch, message)
