Remind other owners of a flow when an acknowledgement matches nothing

The state machine found a flow with two owners for good: the hint at the second admission was lost, and the first owner got no more datagrams (loss 5%). Repeating each hint was ruled out for its traffic. An acknowledgement that matches no message of the owner now makes it tell the list again, so that the session of the other owner is handed over; a second record without sessions does no harm and ends at the idle time-out.

--- a/src/egretfork/agent/router.py
+++ b/src/egretfork/agent/router.py
@@ -22,6 +22,7 @@
 from egretfork import wire
 
 MESSAGE_ID_END = 4
+REMINDER_INTERVAL = datetime.timedelta(milliseconds=50)
 
 
 class FlowRouter:
@@ -46,6 +47,7 @@
         self._forwarder = forwarder
         self._transfers = transfers
         self._generator = generator
+        self._next_reminder = datetime.timedelta()
 
     def receive(
         self, forwarded: wire.Forwarded, now: datetime.timedelta
@@ -104,7 +106,7 @@
         if kind is coap.Kind.REQUEST:
             return self._serve_request(flow, forwarded, message, now, may_hold)
         if kind is coap.Kind.EMPTY_ACK:
-            return self._serve_acknowledgement(flow, forwarded, message)
+            return self._serve_acknowledgement(flow, forwarded, message, now)
         if kind is coap.Kind.RESET:
             return self._serve_reset(flow, forwarded, message)
         if kind is coap.Kind.PING:
@@ -161,11 +163,18 @@
         flow: flows.Flow,
         forwarded: wire.Forwarded,
         message: aiocoap.Message,
+        now: datetime.timedelta,
     ) -> list[events.Signal]:
         key = serving.MessageKey(flow.key, message.mid)
         if self._sessions.acknowledge(key) or self._server.settle(key):
             return []
-        return self._relay_unmatched(flow, forwarded)
+        relayed = self._relay_unmatched(flow, forwarded)
+        if now < self._next_reminder:
+            return relayed
+        # Another agent may have sent the message that is acknowledged; it
+        # owns the flow too if the hint at the admission was lost.
+        self._next_reminder = now + REMINDER_INTERVAL
+        return relayed + self._transfers.tell_owner(flow, forwarded.agents)
 
     def _serve_reset(
         self,
