--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -133,6 +133,8 @@
         paced: the agent takes new flows only if no other agent does.
         entries: entries that the agent heard last, through which a peer
             can reach callers when the entries it knows have died.
+        first_deadline_ms: time left of the first waiting request when the
+            hint is sent.
     """
 
     service: str
@@ -148,6 +150,7 @@
     shedding: bool = False
     paced: bool = False
     entries: tuple[model.Endpoint, ...] = ()
+    first_deadline_ms: int = 0
 
 
 class RequestBody(msgspec.Struct, frozen=True, array_like=True):
@@ -180,10 +183,16 @@
 
 
 class WorkHandover(Message, frozen=True, tag=8):
-    """Answer to a pull: a request, or none if nothing waits."""
+    """Answer to a pull: a request, or none if nothing waits.
+
+    ``waiting`` and ``first_deadline_ms`` describe the queue that is left,
+    as in ``LoadHint``.
+    """
 
     pull_id: int
     request: RequestBody | None
+    waiting: int = 0
+    first_deadline_ms: int = 0
 
 
 class WorkAccepted(Message, frozen=True, tag=9):
