--- a/src/egretfork/bench/flows.py
+++ b/src/egretfork/bench/flows.py
@@ -10,6 +10,7 @@
 import statistics
 import time
 import tracemalloc
+import typing
 
 import click
 import xxhash
@@ -24,6 +25,7 @@
 
 SECOND = datetime.timedelta(seconds=1)
 HINT_DELAY = datetime.timedelta(milliseconds=100)
+PARTS = ("evenness", "join", "speed")
 BASELINES = ("hash_modulo", "rendezvous", "random")
 
 
@@ -294,7 +296,16 @@
 
 
 @click.command()
-@click.option("--seeds", default=5, help="Seeds of the evenness runs.")
+@click.option(
+    "--part",
+    "parts",
+    multiple=True,
+    type=click.Choice(PARTS),
+    default=PARTS,
+    help="Measurement to make; all if none is named.",
+)
+@click.option("--first-seed", default=1, help="First seed.")
+@click.option("--seeds", default=5, help="Number of seeds.")
 @click.option("--targets", default=7, help="Targets of the service.")
 @click.option("--flows", "per_target", default=1400, help="Flows a target.")
 @click.option("--lifetime-s", default=120.0, help="Lifetime of a flow.")
@@ -302,25 +313,34 @@
     "--sizes", default="1000,10000,100000", help="Numbers of flows, commas."
 )
 def command(
-    seeds: int, targets: int, per_target: int, lifetime_s: float, sizes: str
+    parts: tuple[str, ...],
+    first_seed: int,
+    seeds: int,
+    targets: int,
+    per_target: int,
+    lifetime_s: float,
+    sizes: str,
 ) -> None:
     """Measure evenness, joins, speed and size of flows."""
-    result = {
-        "evenness": [
+    chosen = range(first_seed, first_seed + seeds)
+    result: dict[str, list[dict[str, typing.Any]]] = {}
+    if "evenness" in parts:
+        result["evenness"] = [
             dataclasses.asdict(
                 measure_evenness(seed, targets, per_target, lifetime_s)
             )
-            for seed in range(1, seeds + 1)
-        ],
-        "join": [
+            for seed in chosen
+        ]
+    if "join" in parts:
+        result["join"] = [
             dataclasses.asdict(
                 measure_join(seed, targets, per_target, lifetime_s, 10)
             )
-            for seed in range(1, seeds + 1)
-        ],
-        "speed": [
+            for seed in chosen
+        ]
+    if "speed" in parts:
+        result["speed"] = [
             dataclasses.asdict(measure_speed(int(size)))
             for size in sizes.split(",")
-        ],
-    }
+        ]
     click.echo(json.dumps(result, indent=2))
