Follow the operators' drain mark of an agent

Configuration.drained_agents names agents to drain without a stop; the agent follows the mark and its removal. Dissemination does not carry the field to agents yet (gossip/deltas.py rebuilds the configuration without it).

--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -276,6 +276,8 @@
         )
         status.permitted = is_permitted(status)
         self._lists.update()
+        drained = configuration.drained_agents
+        self._lifecycle.follow_order(status.identity.name in drained)
         return [
             *self._ask_engine(event, now),
             *self._apply_lifecycle(now),
--- a/src/egretfork/agent/lifecycle.py
+++ b/src/egretfork/agent/lifecycle.py
@@ -21,6 +21,7 @@
         self._is_registered = False
         self._has_withdrawn = False
         self._drain_ordered = False
+        self._is_marked = False
         self._target_drains = False
         self._failed_probes = MAX_FAILED_PROBES
         self._last_report = events.TargetReport(False, False, False, None)
@@ -29,9 +30,13 @@
         status.ready = False
 
     def order_drain(self) -> None:
-        """Drain by order of an operator."""
+        """Drain for the rest of this life of the agent."""
         self._drain_ordered = True
 
+    def follow_order(self, is_drained: bool) -> None:
+        """Follow the operators' mark, which they may take back."""
+        self._is_marked = is_drained
+
     def note_registration(self, change: events.RegistrationChanged) -> None:
         """Take a change of the target's registration."""
         self._is_registered = change.registered
@@ -55,7 +60,10 @@
         status.ready = known and healthy
         self._has_been_ready = self._has_been_ready or status.ready
         status.draining = (
-            self._drain_ordered or self._target_drains or self._has_withdrawn
+            self._drain_ordered
+            or self._is_marked
+            or self._target_drains
+            or self._has_withdrawn
         )
         state = self._find_state()
         if state is self._announced:
--- a/src/egretfork/agent/shell.py
+++ b/src/egretfork/agent/shell.py
@@ -148,10 +148,6 @@
         """Take the known targets from the gossip service."""
         self._handle(events.AnnouncementsChanged(announcements))
 
-    def drain(self) -> None:
-        """Drain the target without a stop."""
-        self._handle(events.DrainRequested())
-
     def _receive_peer(self, data: bytes, peer: model.Endpoint) -> None:
         message = wire.decode(data, str(peer))
         if isinstance(message, reasons.Failure):
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -6,6 +6,8 @@
 from aiocoap.numbers import codes
 from aiocoap.numbers import types
 
+import msgspec
+
 from egretfork.agent import events
 from egretfork.bench import flows as bench_flows
 from egretfork import coap
@@ -309,6 +311,24 @@
         world.run(1)
         self.assertEqual({watch.value for watch in watches}, {1})
 
+    def test_operators_drain_an_agent_and_take_it_back(self) -> None:
+        # Guards against a mark that is not followed, or not taken back.
+        world = build_world(agents=3)
+        for _ in range(20):
+            world.add_caller().request()
+        world.run(2)
+        marked = msgspec.structs.replace(
+            world.configuration, drained_agents=("t2",)
+        )
+        world.configure(marked)
+        world.run(3)
+        self.assertEqual(world.count_flows()["t2"], 0)
+        self.assertEqual(sum(world.count_flows().values()), 20)
+        states = flows_support.State
+        self.assertIs(world.announcements["t2"].state, states.DRAINING)
+        world.configure(msgspec.structs.replace(marked, drained_agents=()))
+        self.assertIs(world.announcements["t2"].state, states.READY)
+
     def test_a_target_that_is_not_permitted_gives_up_its_flows(self) -> None:
         # Guards against a declaration that changes and is not followed.
         world = build_world(agents=3)
