Replay traces of both deployments against stated outcomes

Fourteen traces (seven scenarios, two deployments) run through the decision code of entries and agents in virtual time; make replay prints the measures.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: env demo test format lint types unit bench capacity fuzz clean
+.PHONY: env demo test format lint types unit replay clean
 
 env: $(VENV)/installed
 
@@ -31,3 +31,6 @@
 
 clean:
 	rm -rf $(VENV) build var .mypy_cache .hypothesis
+
+replay: env
+	$(BIN)/python -m tests.replay
--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -88,7 +88,10 @@
         if path in (("health",), ("feed",)):
             return 0.001
         self.run_count += 1
-        self.world.note_run(message)
+        self.world.note_run(self.name, message)
+        for query in message.opt.uri_query:
+            if query.startswith(RUN_QUERY):
+                return float(query.removeprefix(RUN_QUERY)) / 1000
         return self.run_s
 
     def answer(self, message: aiocoap.Message) -> None:
@@ -195,7 +198,11 @@
         self.seen: set[int] = set()
 
     def request(
-        self, code: codes.Code = codes.GET, key: bytes = b"", **options: object
+        self,
+        code: codes.Code = codes.GET,
+        key: bytes = b"",
+        deadline_ms: int = 0,
+        **options: object,
     ) -> Exchange:
         number = next(self.numbers)
         token = number.to_bytes(3, "big")
@@ -212,6 +219,8 @@
         if code in coap.NON_IDEMPOTENT_CODES:
             key = key or self.world.make_key()
             coap.set_opaque_option(message, coap.REQUEST_KEY, key)
+        if deadline_ms:
+            coap.set_uint_option(message, coap.DEADLINE_MS, deadline_ms)
         exchange = Exchange(payload, coap.encode(message), message.mid)
         exchange.started_s = self.world.now_s
         self.exchanges[token] = exchange
@@ -565,7 +574,7 @@
         value = made_ms << 80 | 7 << 76 | 2 << 62 | number
         return uuid.UUID(int=value).bytes
 
-    def note_run(self, message: aiocoap.Message) -> None:
+    def note_run(self, target: str, message: aiocoap.Message) -> None:
         if message.code in coap.NON_IDEMPOTENT_CODES:
             self.runs[message.payload] += 1
         if message.opt.uri_host not in (None, SERVICE):
--- /dev/null
+++ b/tests/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces."""
