--- a/tests/test_flows_machine.py
+++ b/tests/test_flows_machine.py
@@ -151,6 +151,8 @@
 
     def check_tables(self) -> None:
         alive = [node for node in self.world.nodes.values() if node.alive]
+        stuck = [node.name for node in alive if node.status.stopping]
+        assert not stuck, f"planned stops do not end: {stuck}"
         flows = sum(node.core.flow_count for node in alive)
         if not self.lossy:
             assert flows <= len(self.world.callers), "flow with two owners"
