Cover the numbers on which a moved or merged session goes on

With the step of a move removed, and with the merge of counters removed, all tests passed: the moved sessions had sent one notification only. The move tests now publish five before the stop, and a case merges counters directly.

--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from egretfork.agent import events
+from egretfork.agent import flowrecords
+from egretfork.agent import flows
 from egretfork.bench import flows as bench_flows
 from egretfork import coap
 from egretfork import model
@@ -174,6 +176,10 @@
     def stop_and_check(self, world: flows_support.World) -> None:
         watches = [world.add_caller().observe() for _ in range(40)]
         world.run(2)
+        # The successor must go on above the numbers used so far.
+        for _ in range(5):
+            world.publish()
+            world.run(0.2)
         node = world.nodes["t0"]
         self.assertGreater(node.core.flow_count, 0)
         world.stop(node)
@@ -183,7 +189,7 @@
         world.loss = 0.0
         world.publish()
         world.run(8)
-        self.assertEqual({watch.value for watch in watches}, {1})
+        self.assertEqual({watch.value for watch in watches}, {6})
 
     def test_a_planned_stop_moves_sessions(self) -> None:
         # Guards against sessions that end with the agent that holds them.
@@ -257,6 +263,29 @@
         world.run(1)
         self.assertEqual(watch.value, 1)
 
+    def test_a_merged_flow_goes_on_above_both_owners(self) -> None:
+        # Guards against notifications that the caller takes for old ones.
+        caller = flows_support.World().add_caller()
+        for own, other in ((5, 2051), (2051, 5)):
+            flow = flows.Flow(
+                caller.flow, 1, flows.Stamp(1, "t0"), own, flows_support.ZERO
+            )
+            session = flows.Session(b"t", b"", own, 1)
+            flow.sessions = {b"t": session}
+            record = wire.FlowRecord(
+                caller.flow,
+                1,
+                2,
+                "t1",
+                (wire.SessionRecord(b"t", b"", other),),
+                (),
+                (),
+                other,
+            )
+            flowrecords.merge_counters(flow, record)
+            self.assertGreaterEqual(session.sequence, 2051)
+            self.assertGreaterEqual(flow.next_message_id, 2051)
+
     def test_a_drained_target_gets_no_new_work(self) -> None:
         # Guards against work on a leaving target after 3 s.
         world = build_world()
