--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from egretfork.agent import events
+from egretfork.agent import records
 from tests import request_support as support
 
 ANSWERED = ("answered", "")
@@ -53,3 +55,270 @@
             self.assertEqual(ANSWERED, fixture.outcome(request))
         ran_at = {agent for agent, _ in fixture.targets.runs}
         self.assertEqual(set(fixture.addresses), ran_at)
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Guards the run records against each way to a second run."""
+
+    def find_key(self, fixture, primary):
+        """Return a key whose primary is the member with an index."""
+        group = fixture.agents.group
+        keys = map(fixture.make_key, range(100))
+        return next(
+            key
+            for key in keys
+            if records.choose_primary(group, key) == primary
+        )
+
+    def test_grant_waits_for_a_majority(self):
+        """A grant that only its primary holds is lost with the primary."""
+        fixture = support.Fixture(count=4)
+        key = self.find_key(fixture, 0)
+        fixture.network.cut |= set(fixture.addresses[1:3])
+        request = fixture.submit(fixture.addresses[3], b"write", key)
+        fixture.run(2000)
+        self.assertEqual("unknown", fixture.outcome(request)[0])
+        self.assertEqual(0, fixture.targets.count(b"write"))
+
+    def test_refusal_waits_for_a_void_record(self):
+        """A refusal without a record is broken by a resend elsewhere."""
+        fixture = support.Fixture(count=4)
+        key = fixture.make_key(1)
+        fixture.agents.feed(fixture.addresses[3], events.DrainRequested())
+        refused = fixture.submit(fixture.addresses[3], b"write", key)
+        fixture.run(500)
+        resent = fixture.submit(fixture.addresses[0], b"write", key)
+        raised = fixture.submit(fixture.addresses[0], b"again", key, 1)
+        fixture.run(1000)
+        self.assertEqual(("refused", "draining"), fixture.outcome(refused))
+        self.assertEqual(("refused", "superseded"), fixture.outcome(resent))
+        self.assertEqual(ANSWERED, fixture.outcome(raised))
+        self.assertEqual(0, fixture.targets.count(b"write"))
+
+    def test_refusal_after_a_run_gets_the_stored_answer(self):
+        """An agent that refuses does not know that the request has run."""
+        fixture = support.Fixture(count=4)
+        key = fixture.make_key(1)
+        first = fixture.submit(fixture.addresses[0], b"write", key)
+        fixture.run(500)
+        fixture.agents.feed(fixture.addresses[3], events.DrainRequested())
+        resent = fixture.submit(fixture.addresses[3], b"write", key)
+        fixture.run(500)
+        self.assertEqual(ANSWERED, fixture.outcome(first))
+        self.assertEqual(ANSWERED, fixture.outcome(resent))
+        self.assertEqual(b"done write", fixture.payload(resent))
+
+    def test_sealed_members_do_not_vote(self):
+        """Agents that have not heard of the new epoch ask the old one."""
+        fixture = support.Fixture(count=5)
+        old, new = fixture.addresses[:3], fixture.addresses[2:]
+        key = next(
+            key
+            for key in map(fixture.make_key, range(200))
+            if records.choose_primary(fixture.agents.group, key) == 0
+        )
+        fixture.agents.form_group(new)
+        for address in new:
+            fixture.agents.configure(address)
+        fixture.run(300)
+        late = fixture.submit(old[0], b"write", key)
+        fixture.run(1000)
+        resent = fixture.submit(new[1], b"write", key)
+        fixture.run(1000)
+        self.assertEqual("unknown", fixture.outcome(late)[0])
+        self.assertEqual(ANSWERED, fixture.outcome(resent))
+        self.assertEqual(1, fixture.targets.count(b"write"))
+
+    def test_grants_outlive_a_change_of_epoch(self):
+        """The new members must know what the old ones granted."""
+        fixture = support.Fixture(count=6)
+        key = fixture.make_key(1)
+        fixture.submit(fixture.addresses[0], b"write", key)
+        fixture.run(500)
+        fixture.agents.form_group(fixture.addresses[3:])
+        fixture.configure_all()
+        fixture.run(500)
+        resent = fixture.submit(fixture.addresses[5], b"write", key)
+        fixture.run(1000)
+        self.assertEqual(ANSWERED, fixture.outcome(resent))
+        self.assertEqual(1, fixture.targets.count(b"write"))
+
+    def lose_majority(self, fixture):
+        """Restart two of three members and form the next group."""
+        for index in (0, 1):
+            fixture.agents.stop(fixture.addresses[index])
+            fixture.agents.start(index)
+        fixture.agents.announce()
+        fixture.agents.form_group(fixture.addresses[2:5])
+        fixture.configure_all()
+        fixture.run(500)
+
+    def test_keys_made_before_a_loss_are_not_run(self):
+        """Lost grants cannot be told from keys that were never asked."""
+        fixture = support.Fixture(count=5)
+        key = self.find_key(fixture, 0)
+        fixture.network.cut.add(fixture.addresses[2])
+        fixture.submit(fixture.addresses[1], b"write", key)
+        fixture.run(500)
+        self.assertEqual(1, fixture.targets.count(b"write"))
+        fixture.network.cut.clear()
+        self.lose_majority(fixture)
+        resent = fixture.submit(fixture.addresses[4], b"write", key)
+        fixture.run(70_000)
+        later = fixture.make_key(2)
+        served = fixture.submit(fixture.addresses[4], b"later", later)
+        fixture.run(1000)
+        self.assertEqual(("unknown", "records_lost"), fixture.outcome(resent))
+        self.assertEqual(1, fixture.targets.count(b"write"))
+        self.assertEqual(ANSWERED, fixture.outcome(served))
+
+    def test_silence_is_no_proof_of_a_loss(self):
+        """Members cut off from the new ones may still grant keys."""
+        fixture = support.Fixture(count=5)
+        fixture.network.cut |= set(fixture.addresses[:2])
+        fixture.agents.form_group(fixture.addresses[2:5])
+        fixture.configure_all()
+        fixture.run(70_000)
+        key = fixture.make_key(1)
+        request = fixture.submit(fixture.addresses[4], b"write", key)
+        fixture.run(1000)
+        self.assertEqual("unknown", fixture.outcome(request)[0])
+        self.assertEqual(0, fixture.targets.count(b"write"))
+
+    def test_executor_restart_leaves_the_outcome_unknown(self):
+        """A grant of an earlier life is never used again."""
+        fixture = support.Fixture(count=4)
+        fixture.targets.run_ms = 1000
+        key = fixture.make_key(1)
+        fixture.submit(fixture.addresses[3], b"write", key)
+        fixture.run(200)
+        self.assertEqual(1, fixture.targets.count(b"write"))
+        fixture.agents.stop(fixture.addresses[3])
+        fixture.agents.start(3)
+        fixture.agents.announce()
+        resent = fixture.submit(fixture.addresses[3], b"write", key)
+        fixture.run(2000)
+        self.assertEqual("unknown", fixture.outcome(resent)[0])
+        self.assertEqual(1, fixture.targets.count(b"write"))
+
+    def test_expired_key_is_not_run(self):
+        """Records are forgotten after ten minutes, keys after eight."""
+        fixture = support.Fixture(count=3)
+        key = fixture.make_key(1)
+        fixture.run(481_000)
+        request = fixture.submit(fixture.addresses[0], b"write", key)
+        fixture.run(100)
+        self.assertEqual(("unknown", "key_expired"), fixture.outcome(request))
+
+
+class WaitingTest(unittest.TestCase):
+    """Guards cancellation, deadlines, retries and health."""
+
+    def fill(self, fixture, count, deadline_ms=60_000):
+        """Occupy slots with long runs."""
+        fixture.targets.run_ms = 4000
+        for number in range(count):
+            fixture.submit(
+                fixture.addresses[0], b"fill %d" % number, b"", 0, deadline_ms
+            )
+
+    def test_cancelled_waiting_request_is_never_started(self):
+        fixture = support.Fixture(count=3)
+        self.fill(fixture, 6)
+        fixture.run(300)
+        plain = fixture.submit(fixture.addresses[0], b"plain", b"", 0, 60_000)
+        key = fixture.make_key(1)
+        keyed = fixture.submit(fixture.addresses[0], b"keyed", key, 0, 60_000)
+        fixture.cancel(fixture.addresses[0], plain)
+        fixture.cancel(fixture.addresses[0], keyed)
+        fixture.run(20_000)
+        self.assertEqual(("refused", "cancelled"), fixture.outcome(plain))
+        self.assertEqual(("refused", "cancelled"), fixture.outcome(keyed))
+        self.assertEqual(0, fixture.targets.count(b"plain"))
+        self.assertEqual(0, fixture.targets.count(b"keyed"))
+
+    def test_expired_request_is_refused_in_time_and_not_started(self):
+        fixture = support.Fixture(count=3)
+        self.fill(fixture, 6)
+        fixture.run(300)
+        begun = fixture.now
+        key = fixture.make_key(1)
+        requests = [
+            fixture.submit(fixture.addresses[0], b"late", b"", 0, 400),
+            fixture.submit(fixture.addresses[0], b"late", key, 0, 400),
+        ]
+        fixture.run(20_000)
+        for request in requests:
+            self.assertEqual("refused", fixture.outcome(request)[0])
+            spent = fixture.finished_at[request] - begun
+            self.assertLess(spent, support.milliseconds(400))
+        self.assertEqual(0, fixture.targets.count(b"late"))
+
+    def test_idempotent_request_moves_away_from_a_failing_target(self):
+        fixture = support.Fixture(count=2)
+        fixture.targets.failing.add(fixture.addresses[0])
+        request = fixture.submit(fixture.addresses[0], b"read")
+        fixture.run(1000)
+        self.assertEqual(ANSWERED, fixture.outcome(request))
+
+    def test_retries_stay_within_the_budget(self):
+        fixture = support.Fixture(count=4)
+        fixture.targets.failing |= set(fixture.addresses)
+        for number in range(200):
+            fixture.submit(fixture.addresses[number % 4], b"read")
+            fixture.run(50)
+        fixture.run(10_000)
+        # Four buckets of ten tokens, and a tenth of 200 requests.
+        self.assertLessEqual(len(fixture.targets.runs), 200 + 40 + 20)
+
+    def test_target_that_claims_health_is_ejected_by_its_runs(self):
+        fixture = support.Fixture(count=1)
+        only = fixture.addresses[0]
+        healthy = events.TargetReport(True, False, False, 0)
+        fixture.targets.failing.add(only)
+        for _ in range(3):
+            fixture.submit(only, b"read")
+            fixture.run(50)
+            fixture.agents.feed(only, healthy)
+        refused = fixture.submit(only, b"read")
+        fixture.run(50)
+        self.assertEqual(("refused", "unhealthy"), fixture.outcome(refused))
+        fixture.targets.failing.clear()
+        fixture.run(1000)
+        fixture.agents.feed(only, healthy)
+        trial = fixture.submit(only, b"read")
+        fixture.run(500)
+        self.assertEqual(ANSWERED, fixture.outcome(trial))
+
+    def test_answers_outrank_failed_probes(self):
+        fixture = support.Fixture(count=1)
+        only = fixture.addresses[0]
+        unhealthy = events.TargetReport(False, False, False, None)
+        for _ in range(6):
+            fixture.agents.feed(only, unhealthy)
+            request = fixture.submit(only, b"read")
+            fixture.run(200)
+            self.assertEqual(ANSWERED, fixture.outcome(request))
+
+    def test_draining_agent_gives_its_waiting_requests_away(self):
+        fixture = support.Fixture(count=2)
+        first = fixture.addresses[0]
+        requests = [
+            fixture.submit(first, b"read %d" % number, b"", 0, 30_000)
+            for number in range(12)
+        ]
+        fixture.agents.feed(first, events.DrainRequested())
+        late = fixture.submit(first, b"late")
+        fixture.run(10_000)
+        self.assertEqual(("refused", "draining"), fixture.outcome(late))
+        for request in requests:
+            self.assertEqual(ANSWERED, fixture.outcome(request))
+        self.assertTrue(fixture.agents.engines[first].idle)
+
+    def test_hints_are_at_most_ten_a_second(self):
+        fixture = support.Fixture(count=2)
+        for number in range(300):
+            fixture.submit(fixture.addresses[0], b"read")
+            fixture.run(10)
+        sent = fixture.agents.traffic.messages["LoadHint"]
+        self.assertLessEqual(sent, 2 * 10 * 4)
