--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -185,6 +185,31 @@
         self.assertEqual("unknown", fixture.outcome(request)[0])
         self.assertEqual(0, fixture.targets.count(b"write"))
 
+    def test_two_requests_of_one_key_at_one_agent_run_once(self):
+        """Both are granted to the same agent."""
+        fixture = support.Fixture(count=3)
+        key = fixture.make_key(1)
+        requests = [
+            fixture.submit(fixture.addresses[0], b"write", key)
+            for _ in range(2)
+        ]
+        fixture.run(1000)
+        for request in requests:
+            self.assertEqual(ANSWERED, fixture.outcome(request))
+        self.assertEqual(1, fixture.targets.count(b"write"))
+
+    def test_raised_attempt_of_a_granted_key_is_not_run(self):
+        """A caller may raise the attempt although it was not refused."""
+        fixture = support.Fixture(count=4)
+        key = fixture.make_key(1)
+        fixture.submit(fixture.addresses[0], b"write", key)
+        fixture.run(500)
+        raised = fixture.submit(fixture.addresses[3], b"again", key, 1)
+        fixture.run(500)
+        self.assertEqual(ANSWERED, fixture.outcome(raised))
+        self.assertEqual(b"done write", fixture.payload(raised))
+        self.assertEqual(0, fixture.targets.count(b"again"))
+
     def test_executor_restart_leaves_the_outcome_unknown(self):
         """A grant of an earlier life is never used again."""
         fixture = support.Fixture(count=4)
@@ -237,6 +262,18 @@
         self.assertEqual(0, fixture.targets.count(b"plain"))
         self.assertEqual(0, fixture.targets.count(b"keyed"))
 
+    def test_cancelled_request_at_a_silent_peer_is_not_refused(self):
+        """The peer may have run it, so it is not surely not run."""
+        fixture = support.Fixture(count=2)
+        self.fill(fixture, 2)
+        plain = fixture.submit(fixture.addresses[0], b"plain", b"", 0, 60_000)
+        fixture.run(200)
+        self.assertEqual(1, fixture.targets.count(b"plain"))
+        fixture.network.cut.add(fixture.addresses[1])
+        fixture.cancel(fixture.addresses[0], plain)
+        fixture.run(2000)
+        self.assertEqual("unknown", fixture.outcome(plain)[0])
+
     def test_expired_request_is_refused_in_time_and_not_started(self):
         fixture = support.Fixture(count=3)
         self.fill(fixture, 6)
