Let the stateful test reach changes of the record group

Cause: with random cuts and epochs that few agents hear of, the record group was stuck in nearly all examples. New rules: resend a key through all agents, form a group that all hear of, restart one or two members and form a group, cut a set of agents, raise an attempt too early.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 unit: env
 	$(BIN)/python -m tests
 
+fuzz: env
+	$(BIN)/python -m tests.fuzz
+
 clean:
 	rm -rf $(VENV) build var .mypy_cache .hypothesis
--- a/tests/test_requests_machine.py
+++ b/tests/test_requests_machine.py
@@ -72,6 +72,18 @@
         if refused:
             self.attempts[key] += 1
 
+    @stateful.rule(key=strategies.integers(0, KEYS - 1))
+    def raise_attempt_too_early(self, key):
+        """Try again without a refusal, as careless callers do."""
+        self.attempts[key] += 1
+
+    @stateful.rule(key=strategies.integers(0, KEYS - 1))
+    def resend_everywhere(self, key):
+        """Send a non-idempotent request through all agents at once."""
+        for index in range(AGENTS):
+            self.submit_keyed(index, key, 3000)
+        self.fixture.run(300)
+
     @stateful.rule(index=INDICES, deadline_ms=DEADLINES)
     def submit_plain(self, index, deadline_ms):
         """Send an idempotent request."""
@@ -120,18 +132,41 @@
         """Let a target refuse runs, or stop doing so."""
         self.fixture.targets.refusing ^= {self.addresses[index]}
 
-    @stateful.rule(index=INDICES)
-    def toggle_cut(self, index):
-        """Cut an agent off from the others, or connect it again."""
-        self.fixture.network.cut ^= {self.addresses[index]}
+    @stateful.rule(indices=strategies.sets(INDICES, max_size=3))
+    def cut(self, indices):
+        """Cut these agents, and no others, off from all others."""
+        self.fixture.network.cut = {self.addresses[i] for i in indices}
 
     @stateful.rule(start=INDICES, told=strategies.sets(INDICES))
     def change_epoch(self, start, told):
         """Form a new record group that only some agents hear of yet."""
-        members = [self.addresses[(start + i) % AGENTS] for i in range(3)]
-        self.fixture.agents.form_group(members)
+        self.form_group(start)
         for index in told:
             self.fixture.agents.configure(self.addresses[index])
+        self.fixture.run(200)
+
+    @stateful.rule(start=INDICES)
+    def change_epoch_everywhere(self, start):
+        """Form a new record group that all agents hear of."""
+        self.form_group(start)
+        self.fixture.configure_all()
+        self.fixture.run(200)
+
+    @stateful.rule(
+        lost=strategies.sets(INDICES, min_size=1, max_size=2), start=INDICES
+    )
+    def lose_members(self, lost, start):
+        """Restart some agents at once and form a new record group."""
+        for index in lost:
+            self.fixture.agents.stop(self.addresses[index])
+            self.fixture.agents.start(index)
+        self.fixture.agents.announce()
+        self.change_epoch_everywhere(start)
+
+    def form_group(self, start):
+        """Form a record group of three agents in a row."""
+        members = [self.addresses[(start + i) % AGENTS] for i in range(3)]
+        self.fixture.agents.form_group(members)
 
     @stateful.rule()
     def spread_configuration(self):
