Count movable requests and measure memory

Cause: each event counted the movable requests of the whole queue and copied it, so a long queue made every event slow; the queue now keeps the number. The bound on requests in charge follows the queue's limit.

--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -74,6 +74,7 @@
         """Take up the slots and the queue limit of a configuration."""
         self._slots = service.slots
         self.queue.limit = service.queue
+        self.ends.limit = service.queue + outcomes.MAX_BESIDES_QUEUE
 
     def is_draining(self, now: datetime.timedelta) -> bool:
         """Return whether the agent takes no new work."""
@@ -92,7 +93,7 @@
         if self._drained_at is not None:
             return
         self._drained_at = now
-        for work in self.queue:
+        for work in self.queue.list_until(datetime.timedelta.max):
             if work.foreign and not work.granted:
                 self.queue.remove(work)
                 self.ends.refuse(work, reasons.Refusal.DRAINING, now)
@@ -200,9 +201,7 @@
         expired: list[works.Work] = []
         mean = self.runs.mean_run or datetime.timedelta()
         horizon = now + MAX_MARGIN + mean * START_RESERVE
-        for work in self.queue:
-            if work.deadline > horizon:
-                break
+        for work in self.queue.list_until(horizon):
             reserve = self._read_reserve(work, START_RESERVE)
             if work.deadline - read_margin(work) - reserve <= now:
                 expired.append(work)
--- a/src/egretfork/agent/engine.py
+++ b/src/egretfork/agent/engine.py
@@ -215,7 +215,7 @@
             flows=self._count_flows(),
             flow_limit=self._flow_limit,
             free_slots=self._dispatcher.count_free_slots(now),
-            waiting=self._dispatcher.handover.count_movable(),
+            waiting=self._dispatcher.queue.movable,
             state=self._read_state(now),
             weight=1.0,
             first_deadline=first.deadline if first else now,
--- a/src/egretfork/agent/handover.py
+++ b/src/egretfork/agent/handover.py
@@ -249,15 +249,11 @@
             wire.WorkHandover(
                 pull_id,
                 body,
-                waiting=self.count_movable(),
+                waiting=self._queue.movable,
                 first_deadline_ms=max(0, contexts.to_ms(first_left)),
             ),
         )
 
-    def count_movable(self) -> int:
-        """Return how many waiting requests peers may pull."""
-        return sum(map(_is_movable, self._queue))
-
     def _send_handover(
         self, work: works.Work, pull_id: int, now: datetime.timedelta
     ) -> None:
--- a/src/egretfork/agent/outcomes.py
+++ b/src/egretfork/agent/outcomes.py
@@ -15,7 +15,8 @@
 RESULT_RESEND = datetime.timedelta(milliseconds=100)
 MAX_RESULT_SENDS = 50
 MAX_ENDED = 4_096
-MAX_ACTIVE = 16_384
+# Requests that run, that peers have, or whose record is being asked for.
+MAX_BESIDES_QUEUE = 8_192
 
 ForeignKey = tuple[model.Endpoint, int]
 
@@ -43,6 +44,7 @@
         self._context = context
         self._client = client
         self._executed = executed
+        self.limit = MAX_BESIDES_QUEUE
         self.own: dict[int, works.Work] = {}
         self.own_by_request: dict[int, works.Work] = {}
         self.foreign: dict[ForeignKey, works.Work] = {}
@@ -54,7 +56,7 @@
     @property
     def full(self) -> bool:
         """Return whether no further request is taken in charge."""
-        return len(self.own) + len(self.foreign) >= MAX_ACTIVE
+        return len(self.own) + len(self.foreign) >= self.limit
 
     @property
     def idle(self) -> bool:
--- a/src/egretfork/agent/queue.py
+++ b/src/egretfork/agent/queue.py
@@ -18,18 +18,19 @@
 
     Args:
         limit: requests that may wait; later ones are not accepted.
+
+    ``movable`` is the number of waiting requests that peers may run; what
+    makes a request movable does not change while it waits.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self._works: list[works.Work] = []
+        self.movable = 0
 
     def __len__(self) -> int:
         return len(self._works)
 
-    def __iter__(self) -> typing.Iterator[works.Work]:
-        return iter(tuple(self._works))
-
     @property
     def full(self) -> bool:
         """Return whether no further request may wait."""
@@ -38,6 +39,7 @@
     def push(self, work: works.Work) -> None:
         """Add a request; the caller has checked ``full``."""
         bisect.insort(self._works, work, key=_read_position)
+        self.movable += work.movable
 
     def take(
         self, accept: typing.Callable[[works.Work], bool]
@@ -45,7 +47,7 @@
         """Remove and return the first acceptable request."""
         for index, work in enumerate(self._works):
             if accept(work):
-                return self._works.pop(index)
+                return self._pop(index)
         return None
 
     def find(
@@ -60,12 +62,18 @@
             self._works, _read_position(work), key=_read_position
         )
         if index < len(self._works) and self._works[index] is work:
-            del self._works[index]
+            self._pop(index)
             return True
         return False
 
-    def count_before(self, deadline: datetime.timedelta) -> int:
-        """Return how many requests are ahead of a deadline."""
-        return bisect.bisect_right(
+    def _pop(self, index: int) -> works.Work:
+        work = self._works.pop(index)
+        self.movable -= work.movable
+        return work
+
+    def list_until(self, deadline: datetime.timedelta) -> list[works.Work]:
+        """Return the requests whose deadline is not after this one."""
+        end = bisect.bisect_right(
             self._works, deadline, key=lambda work: work.deadline
         )
+        return self._works[:end]
--- /dev/null
+++ b/src/egretfork/bench/request_memory.py
@@ -0,0 +1,97 @@
+"""Memory that a run record and a waiting request take."""
+
+import datetime
+import random
+import tracemalloc
+import typing
+
+from egretfork.agent import engine as engines
+from egretfork.agent import events
+from egretfork.agent import recordtable
+from egretfork import model
+from egretfork import wire
+
+PAYLOAD_BYTES = 100
+DEADLINE_MS = 300_000
+ADDRESS = model.Endpoint("10.0.0.1", 7000)
+IDENTITY = model.AgentIdentity("agent-1", 1_700_000_000_000)
+
+
+def _measure(count: int, fill: typing.Callable[[int], object]) -> float:
+    """Return the bytes held for each of the items that are filled in."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    held = fill(count)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return (after - before) / count
+
+
+def fill_records(count: int) -> recordtable.RecordTable:
+    """Fill a table with records as they are decoded from messages."""
+    rng = random.Random("records")
+    table = recordtable.RecordTable()
+    for number in range(count):
+        record = wire.RunRecord(
+            key=rng.randbytes(16),
+            attempt=0,
+            state=wire.RecordState.GRANTED,
+            executor=IDENTITY,
+            executor_address=ADDRESS,
+        )
+        message = wire.RecordReplicate(
+            "hatlog", 1, IDENTITY, number, ADDRESS, record
+        )
+        received = wire.decode(wire.encode(message), "bench")
+        if isinstance(received, wire.RecordReplicate):
+            table.write(received.record, number)
+    return table
+
+
+def fill_waiting(count: int) -> engines.RequestEngine:
+    """Let requests wait at an engine whose only slot is occupied."""
+    engine = engines.RequestEngine(
+        "hatlog", IDENTITY, ADDRESS, random.Random("waiting"), 0
+    )
+    service = model.Service(
+        name="hatlog",
+        addresses=("192.0.2.1:5683",),
+        targets=("*",),
+        slots=1,
+        queue=100_000,
+    )
+    now = datetime.timedelta()
+    engine.handle(
+        events.ConfigurationChanged(
+            model.Configuration(version=1, services=(service,))
+        ),
+        now,
+    )
+    rng = random.Random("payloads")
+    for number in range(count + 1):
+        body = wire.RequestBody(
+            request_id=number,
+            origin=ADDRESS,
+            idempotent=True,
+            key=b"",
+            attempt=0,
+            deadline_ms=DEADLINE_MS,
+            payload=rng.randbytes(PAYLOAD_BYTES),
+        )
+        engine.handle(events.SubmitRequest(body), now)
+    return engine
+
+
+def measure_memory(counts: typing.Sequence[int]) -> list[dict[str, float]]:
+    """Return bytes per run record and waiting request at each count."""
+    return [
+        {
+            "count": count,
+            "bytes_per_run_record": round(_measure(count, fill_records), 1),
+            "bytes_per_waiting_request": round(
+                _measure(count, fill_waiting), 1
+            ),
+        }
+        for count in counts
+    ]
--- a/src/egretfork/bench/requests.py
+++ b/src/egretfork/bench/requests.py
@@ -10,6 +10,7 @@
 
 from egretfork.agent import events
 from egretfork.bench import agents
+from egretfork.bench import request_memory
 from egretfork.bench import shared_queue
 from egretfork import model
 from egretfork import wire
@@ -18,6 +19,7 @@
 MAX_DELAY_S = 0.008
 WARM_UP_SHARE = 0.05
 NO_DEADLINE_MS = 300_000
+MEMORY_COUNTS = (1_000, 10_000, 60_000)
 SECOND = datetime.timedelta(seconds=1)
 WALL_CLOCK_ZERO_MS = 1_700_000_000_000
 
@@ -284,6 +286,7 @@
 @click.option("--mean-ms", default=200.0, show_default=True)
 @click.option("--deadline-ms", default=2_000, show_default=True)
 @click.option("--keyed/--idempotent", default=False, show_default=True)
+@click.option("--memory/--no-memory", default=False, show_default=True)
 def command(
     requests: int,
     overload_requests: int,
@@ -296,10 +299,13 @@
     mean_ms: float,
     deadline_ms: int,
     keyed: bool,
+    memory: bool,
 ) -> None:
     """Measure waits for a slot and goodput in virtual time."""
     mean_s = mean_ms / 1000
+    counts = MEMORY_COUNTS if memory else ()
     figures: Figures = {
+        "memory": request_memory.measure_memory(counts),
         "waits": [
             measure_waits(requests, targets, slots, load, mean_s, keyed, seed)
             for seed in range(first_seed, first_seed + seeds)
