--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -169,7 +169,7 @@
     def pump(self, now: datetime.timedelta) -> None:
         """Refuse what expires, start what can run, pull from peers."""
         self._expire_queue(now)
-        while self.count_free_slots(now) > self.handover.pulls:
+        while self.count_free_slots(now) > self.handover.puller.unanswered:
             if self._pull(now):
                 continue
             work = self.queue.take(self._may_start)
@@ -182,7 +182,7 @@
         """Return whether a slot is free for a peer's request."""
         if self.is_draining(now):
             return False
-        return self.count_free_slots(now) > self.handover.pulls
+        return self.count_free_slots(now) > self.handover.puller.unanswered
 
     def _may_start(self, work: works.Work) -> bool:
         return work.granted or self._context.address not in work.tried
@@ -194,7 +194,7 @@
         source = self._peers.choose_source(now)
         if source is None:
             return False
-        self.handover.pull(source, now)
+        self.handover.puller.pull(source, now)
         return True
 
     def _expire_queue(self, now: datetime.timedelta) -> None:
--- a/src/egretfork/agent/handover.py
+++ b/src/egretfork/agent/handover.py
@@ -12,38 +12,20 @@
 from egretfork.agent import executions
 from egretfork.agent import outcomes
 from egretfork.agent import peers
+from egretfork.agent import pulls
 from egretfork.agent import queue
 from egretfork.agent import work as works
 from egretfork import model
 from egretfork import reasons
 from egretfork import wire
 
-PULL_RESEND = datetime.timedelta(milliseconds=50)
-MAX_PULL_SENDS = 3
 HANDOVER_RESEND = datetime.timedelta(milliseconds=60)
 MAX_HANDOVER_SENDS = 4
 CANCEL_RESEND = datetime.timedelta(milliseconds=100)
 MAX_CANCEL_SENDS = 6
 MAX_ANSWERED_PULLS = 1_024
-# The origin stops using a parked pull before the puller forgets it.
+# Shorter than the puller remembers a parked pull.
 PARK_OFFER_LIFETIME = datetime.timedelta(milliseconds=500)
-PARK_LIFETIME = datetime.timedelta(milliseconds=700)
-
-
-@dataclasses.dataclass(slots=True)
-class Pull:
-    """A question for work to a peer.
-
-    ``transit`` is the time that the peer's message may have travelled; it
-    is known once the peer has answered that nothing waits. The pull is
-    then parked: the peer may still hand a request over, but no slot is
-    kept free for it.
-    """
-
-    peer: model.Endpoint
-    asked: datetime.timedelta
-    sends: int = 0
-    transit: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,66 +81,13 @@
         self._ends = ends
         self._queue = waiting
         self._scheduler = scheduler
-        self._pulls: dict[int, Pull] = {}
-        self._unanswered = 0
+        self.puller = pulls.Puller(context)
         self._parked: dict[model.Endpoint, Parked] = {}
         self._answered: collections.OrderedDict[
             tuple[model.Endpoint, int], int
         ] = collections.OrderedDict()
         self._handed: dict[int, works.Work] = {}
 
-    @property
-    def pulls(self) -> int:
-        """Return how many pulls are unanswered."""
-        return self._unanswered
-
-    def pull(self, peer: peers.Peer, now: datetime.timedelta) -> None:
-        """Ask a peer for a waiting request."""
-        peer.waiting = max(0, peer.waiting - 1)
-        pull_id = self._context.next_id()
-        address = peer.announcement.address
-        self._pulls[pull_id] = Pull(address, now)
-        self._unanswered += 1
-        self._send_pull(pull_id, now)
-
-    def _forget_pull(self, pull_id: int) -> Pull | None:
-        pull = self._pulls.pop(pull_id, None)
-        if pull is None:
-            return None
-        if pull.transit is None:
-            self._unanswered -= 1
-        return pull
-
-    def _park(self, pull_id: int, now: datetime.timedelta) -> None:
-        pull = self._pulls.get(pull_id)
-        if pull is None or pull.transit is not None:
-            return
-        pull.transit = now - pull.asked
-        self._unanswered -= 1
-        self._context.timers.schedule(
-            now + PARK_LIFETIME,
-            lambda later: self._drop_parked(pull_id),
-        )
-
-    def _drop_parked(self, pull_id: int) -> None:
-        self._forget_pull(pull_id)
-
-    def _send_pull(self, pull_id: int, now: datetime.timedelta) -> None:
-        pull = self._pulls.get(pull_id)
-        if pull is None or pull.transit is not None:
-            return
-        if pull.sends >= MAX_PULL_SENDS:
-            self._forget_pull(pull_id)
-            self._context.count(reasons.Retry.PEER_TIMEOUT)
-            return
-        pull.sends += 1
-        self._context.send(
-            pull.peer, wire.WorkPull(pull_id, self._context.address)
-        )
-        self._context.timers.schedule(
-            now + PULL_RESEND, functools.partial(self._send_pull, pull_id)
-        )
-
     def handle_pull(
         self, pull: wire.WorkPull, now: datetime.timedelta
     ) -> None:
@@ -167,20 +96,12 @@
         if known is not None:
             self._repeat_answer(pull, known, now)
             return
-        work = self._queue.take(
-            lambda item: item.movable
-            and pull.puller not in item.tried
-            and now < item.deadline
-        )
-        self._remember_answer(pull, work.number if work else 0)
-        if work is None:
+        if not self._hand_first(pull, now):
+            self._remember_answer(pull, 0)
             self._parked.pop(pull.puller, None)
             until = now + PARK_OFFER_LIFETIME
             self._parked[pull.puller] = Parked(pull, until)
             self._send_none(pull)
-            return
-        self._hand(work, pull)
-        self._send_handover(work, pull.pull_id, now)
 
     def offer(self, now: datetime.timedelta) -> None:
         """Hand waiting requests to peers whose pulls are parked."""
@@ -189,21 +110,23 @@
             if parked.until < now:
                 self._parked.clear()
                 return
-            self._hand_parked(parked.pull, now)
+            self._hand_first(parked.pull, now)
 
-    def _hand_parked(
+    def _hand_first(
         self, pull: wire.WorkPull, now: datetime.timedelta
-    ) -> None:
+    ) -> bool:
+        """Hand over the first request that the puller has not tried."""
         work = self._queue.take(
             lambda item: item.movable
             and pull.puller not in item.tried
             and now < item.deadline
         )
         if work is None:
-            return
+            return False
         self._remember_answer(pull, work.number)
         self._hand(work, pull)
         self._send_handover(work, pull.pull_id, now)
+        return True
 
     def _remember_answer(self, pull: wire.WorkPull, number: int) -> None:
         self._answered[pull.puller, pull.pull_id] = number
@@ -307,14 +230,14 @@
         """Take the request that a peer hands over in charge."""
         body = handover.request
         source = self._peers.find(peer)
-        if source is not None and handover.pull_id in self._pulls:
+        if source is not None and handover.pull_id in self.puller:
             source.note_queue(
                 handover.waiting, handover.first_deadline_ms, now
             )
         if body is None:
-            self._park(handover.pull_id, now)
+            self.puller.park(handover.pull_id, now)
             return
-        pull = self._forget_pull(handover.pull_id)
+        pull = self.puller.take(handover.pull_id)
         key = (body.origin, body.request_id)
         if key in self._ends.foreign:
             self._accept(peer, body)
