--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 unit: env
 	$(BIN)/python -m tests
 
+fuzz: env
+	$(BIN)/python -m tests.fuzz
+
 clean:
 	rm -rf $(VENV) build var .mypy_cache .hypothesis
 
