Hand leadership over before a planned stop

Cause: a leader that stopped left the group without one for an election timeout, and the client lost a second at each stopped member.

Change: a leader that stops waits for commands in progress (at most 1 s) and asks the voter with the newest entries to be elected at once (section 3.10 of Ongaro's dissertation). The client waits 0.3 s for its first reply and doubles that up to 2 s.

Members now keep connections to all members.

--- a/src/egretfork/client/session.py
+++ b/src/egretfork/client/session.py
@@ -13,7 +13,8 @@
 from egretfork import model
 from egretfork import reasons
 
-TRY_TIMEOUT = datetime.timedelta(seconds=1)
+TRY_TIMEOUT_MIN = datetime.timedelta(milliseconds=300)
+TRY_TIMEOUT_MAX = datetime.timedelta(seconds=2)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 DEFAULT_TIMEOUT = datetime.timedelta(seconds=15)
 
@@ -34,6 +35,7 @@
 
 
 Result = api.Reply | NoResult
+NO_RESULT = reasons.Failure | api.Redirect | api.OutcomeUnknown
 
 
 class Session:
@@ -68,40 +70,67 @@
         build: collections.abc.Callable[[int], api.Query],
     ) -> Result:
         deadline = time.monotonic() + self._timeout.total_seconds()
-        turns = itertools.cycle(self._members)
-        target = next(turns)
-        certainty = Certainty.NOT_DONE
-        failure = _describe(target, "no reply")
+        search = _Search(self._members)
         while time.monotonic() < deadline:
-            received = ask_member(context, target, build(next(self._numbers)))
-            reply = convert_refusal(certainty, target, received)
-            if not isinstance(
-                reply, reasons.Failure | api.Redirect | api.OutcomeUnknown
-            ):
+            query = build(next(self._numbers))
+            received = ask_member(context, search.target, query, search.wait)
+            reply = convert_refusal(search.certainty, search.target, received)
+            if not isinstance(reply, NO_RESULT):
                 return reply
-            if isinstance(reply, api.Redirect) and reply.leader:
-                failure = _describe(target, f"leader is {reply.leader}")
-                if reply.leader != target:
-                    target = reply.leader
-                    continue
-            else:
-                certainty, failure = _weigh(certainty, target, reply)
-            target = next(turns)
-            time.sleep(RETRY_PAUSE.total_seconds())
-        return NoResult(certainty, failure)
+            search.note(reply)
+        return NoResult(search.certainty, search.failure)
+
+
+class _Search:
+    """Whom to ask next, how long to wait, and what is certain so far."""
+
+    def __init__(self, members: tuple[model.Endpoint, ...]) -> None:
+        self._turns = itertools.cycle(members)
+        self.target = next(self._turns)
+        self.wait = TRY_TIMEOUT_MIN
+        self.certainty = Certainty.NOT_DONE
+        self.failure = _describe(self.target, "no reply")
+
+    def note(
+        self, reply: api.Redirect | api.OutcomeUnknown | reasons.Failure
+    ) -> None:
+        """Choose the next member after a try without a result."""
+        if isinstance(reply, api.Redirect) and reply.leader is not None:
+            self.failure = _describe(self.target, f"leads: {reply.leader}")
+            if reply.leader != self.target:
+                self.target = reply.leader
+                return
+        else:
+            self._weigh(reply)
+        self.target = next(self._turns)
+        time.sleep(RETRY_PAUSE.total_seconds())
+
+    def _weigh(
+        self, reply: api.Redirect | api.OutcomeUnknown | reasons.Failure
+    ) -> None:
+        if isinstance(reply, api.Redirect):
+            self.failure = _describe(self.target, "no leader is known")
+            return
+        self.certainty = Certainty.UNKNOWN
+        if isinstance(reply, api.OutcomeUnknown):
+            self.failure = _describe(self.target, reply.detail)
+            return
+        self.failure = reply
+        self.wait = min(2 * self.wait, TRY_TIMEOUT_MAX)
 
 
 def ask_member(
     context: "zmq.Context[zmq.Socket[bytes]]",
     member: model.Endpoint,
     query: api.Query,
+    wait: datetime.timedelta = TRY_TIMEOUT_MAX,
 ) -> api.Reply | reasons.Failure:
     """Ask one member without following redirects."""
     with context.socket(zmq.DEALER) as dealer:
         dealer.setsockopt(zmq.LINGER, 0)
         dealer.connect(f"tcp://{member}")
         dealer.send(api.encode(query))
-        if not dealer.poll(int(TRY_TIMEOUT.total_seconds() * 1000)):
+        if not dealer.poll(int(wait.total_seconds() * 1000)):
             return _describe(member, "no reply")
         return api.decode_reply(dealer.recv(), str(member))
 
@@ -132,19 +161,6 @@
     return reply
 
 
-def _weigh(
-    certainty: Certainty,
-    member: model.Endpoint,
-    reply: api.Redirect | api.OutcomeUnknown | reasons.Failure,
-) -> tuple[Certainty, reasons.Failure]:
-    """Return what is known after a try without a result."""
-    if isinstance(reply, api.Redirect):
-        return certainty, _describe(member, "no leader is known")
-    if isinstance(reply, api.OutcomeUnknown):
-        return Certainty.UNKNOWN, _describe(member, reply.detail)
-    return Certainty.UNKNOWN, reply
-
-
 def read_status(
     member: model.Endpoint,
 ) -> api.StatusRead | reasons.Failure:
--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -3,16 +3,14 @@
 No sockets, files or clocks: events go in, actions come out.
 """
 
-import collections.abc
 import dataclasses
 import datetime
 
 from egretfork.control import api
 from egretfork.control import commands
+from egretfork.control import duties
 from egretfork.control import entries
 from egretfork.control import events
-from egretfork.control import groups
-from egretfork.control import nodes
 from egretfork.control import raft
 from egretfork.control import reading
 from egretfork.control import state
@@ -24,7 +22,6 @@
 # Entries stay in memory until they are compacted; a file of the design
 # size has about 100 KB.
 COMPACT_AFTER_BYTES = 2 * 1024 * 1024
-DUTY_INTERVAL = datetime.timedelta(milliseconds=200)
 MAX_PENDING = 1024
 
 
@@ -60,6 +57,7 @@
 CoreEvent = (
     events.Tick
     | events.Received
+    | events.Resigned
     | QueryReceived
     | Announced
     | Confirmed
@@ -115,12 +113,9 @@
         self._raft = consensus
         self._compact_after_entries = compact_after_entries
         self._machine = state.StateMachine(consensus.log.snapshot.state)
-        self._nodes = nodes.NodeKeeper()
-        self._groups = groups.GroupKeeper()
-        self._announcements: tuple[model.TargetAnnouncement, ...] = ()
+        self._duties = duties.Duties()
         self._pending: dict[int, Pending] = {}
         self._next_token = 1
-        self._duty_at = datetime.timedelta()
         self._status = api.MemberStatus.ACTIVE
         self._detail = ""
         self._actions: list[CoreAction] = []
@@ -130,6 +125,11 @@
         """Return the newest configuration known to be committed."""
         return self._machine.configuration
 
+    @property
+    def has_pending(self) -> bool:
+        """Return whether queries wait for their result."""
+        return bool(self._pending)
+
     @property
     def consensus(self) -> raft.Raft:
         """Return the consensus core, for inspection."""
@@ -151,15 +151,17 @@
             case QueryReceived():
                 self._on_query(event, now)
             case Announced():
-                self._announcements = event.announcements
+                self._duties.note_announcements(event.announcements)
             case Confirmed():
-                self._nodes.note_confirmations(event.confirmations)
+                self._duties.nodes.note_confirmations(event.confirmations)
             case _:
                 self._on_consensus_event(event, now)
         return self._actions
 
     def _on_consensus_event(
-        self, event: events.Tick | events.Received, now: datetime.timedelta
+        self,
+        event: events.Tick | events.Received | events.Resigned,
+        now: datetime.timedelta,
     ) -> None:
         if self._status is not api.MemberStatus.ACTIVE:
             return
@@ -273,7 +275,9 @@
         if entry.command:
             command = commands.decode(entry.command)
             outcome = self._machine.apply(command)
-            self._note_applied(command, outcome, now)
+            forgotten = self._duties.note_applied(command, outcome, now)
+            if forgotten:
+                self._actions.append(DropNode(forgotten))
         placed = [
             token
             for token, pending in self._pending.items()
@@ -282,20 +286,6 @@
         for token in placed:
             self._conclude(self._pending.pop(token), entry, outcome)
 
-    def _note_applied(
-        self,
-        command: commands.Command,
-        outcome: commands.Outcome | None,
-        now: datetime.timedelta,
-    ) -> None:
-        match command:
-            case commands.SetRecordGroups():
-                for group in command.groups:
-                    self._groups.note_changed(group, now)
-            case commands.ForgetNode() if outcome and not outcome.reason:
-                self._nodes.drop(command.node)
-                self._actions.append(DropNode(command.node))
-
     def _conclude(
         self,
         pending: Pending,
@@ -332,33 +322,14 @@
     # Duties of the leader
 
     def _carry_out_duties(self, now: datetime.timedelta) -> None:
-        leader = self._raft.leading
-        if leader is None or now < self._duty_at:
+        if self._raft.leading is None or not self._duties.is_due(now):
             return
-        self._duty_at = now + DUTY_INTERVAL
         if self._raft.commit < self._raft.log.last_index:
             # Decisions are made on the state that all entries lead to.
             return
-        for command in self._list_duties(now):
+        for command in list(self._duties.decide(self._machine.state, now)):
             self._run(events.Proposed(0, commands.encode(command)), now)
 
-    def _list_duties(
-        self, now: datetime.timedelta
-    ) -> collections.abc.Iterator[commands.LeaderCommand]:
-        current = self._machine.state
-        registration = self._nodes.find_registrations(current)
-        if registration is not None:
-            yield registration
-        else:
-            release = self._nodes.find_releases(current, now)
-            if release is not None:
-                yield release
-        changed = self._groups.decide(
-            current.services, current.groups, self._announcements, now
-        )
-        if changed:
-            yield commands.SetRecordGroups(changed)
-
     def _compact(self, now: datetime.timedelta) -> None:
         held = self._raft.log
         applied = self._raft.commit - held.snapshot.index
@@ -391,7 +362,7 @@
                 detail=self._detail,
                 consensus=self._raft,
                 state=self._machine.state,
-                nodes=self._nodes,
+                nodes=self._duties.nodes,
             ),
             query.number,
         )
--- a/src/egretfork/control/entries.py
+++ b/src/egretfork/control/entries.py
@@ -66,12 +66,17 @@
 
 
 class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Asks for a vote, or whether one would be given (pre-vote)."""
+    """Asks for a vote, or whether one would be given (pre-vote).
+
+    Attributes:
+        transfer: the leader asked the sender to take over.
+    """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool
+    transfer: bool = False
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -133,6 +138,12 @@
     sequence: int
 
 
+class TakeOver(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A leader that stops asks the receiver to be elected at once."""
+
+    term: int
+
+
 PeerMessage = (
     VoteRequest
     | VoteReply
@@ -141,6 +152,7 @@
     | SnapshotRequest
     | Hello
     | HelloReply
+    | TakeOver
 )
 
 ReplyMessage = VoteReply | AppendReply | HelloReply
--- a/src/egretfork/control/events.py
+++ b/src/egretfork/control/events.py
@@ -67,6 +67,11 @@
 MemberChange = MemberAdded | MemberPromoted | MemberRemoved
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resigned:
+    """The process is about to stop; another member is to lead."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Compacted:
     """The state machine encoded its state after the entry at ``index``."""
@@ -75,7 +80,15 @@
     state: bytes
 
 
-Event = Tick | Received | Proposed | ReadProposed | MemberChange | Compacted
+Event = (
+    Tick
+    | Received
+    | Proposed
+    | ReadProposed
+    | MemberChange
+    | Compacted
+    | Resigned
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/egretfork/control/leading.py
+++ b/src/egretfork/control/leading.py
@@ -154,6 +154,17 @@
         peer = self.peers.get(identity)
         return peer is not None and peer.last_contact >= since
 
+    def find_successor(self, members: tuple[entries.Member, ...]) -> str:
+        """Return the voter with the newest entries, empty if none."""
+        voters = entries.list_voters(members)
+        peers = [item for item in self.peers.items() if item[0] in voters]
+        best = max(
+            peers,
+            key=lambda item: (item[1].match_index, item[1].last_contact),
+            default=None,
+        )
+        return best[0] if best else ""
+
     def is_caught_up(self, identity: str, commit: int) -> bool:
         """Return whether a peer holds every committed entry."""
         peer = self.peers.get(identity)
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -37,6 +37,8 @@
                 self._on_read(event)
             case events.Compacted():
                 self._on_compacted(event)
+            case events.Resigned():
+                self._on_resigned()
             case _:
                 self._on_member_change(event)
         return self._actions
@@ -82,6 +84,8 @@
                 self._on_snapshot(sender, message)
             case entries.AppendReply():
                 self._on_append_reply(sender, message)
+            case entries.TakeOver():
+                self._on_take_over(sender, message)
 
     def _become_leader(self) -> None:
         self.role = voting.Role.LEADER
@@ -205,6 +209,21 @@
             for token in self.leading.take_reads(self.commit)
         )
 
+    # Transfer (section 3.10 of the dissertation)
+
+    def _on_resigned(self) -> None:
+        if self.leading is None:
+            return
+        successor = self.leading.find_successor(self.log.members)
+        if successor:
+            self._send(successor, entries.TakeOver(self.term))
+        self._become_follower("")
+
+    def _on_take_over(self, sender: str, message: entries.TakeOver) -> None:
+        if message.term == self.term and sender == self.leader:
+            if self.is_voter:
+                self._start_election(pre_vote=False, transfer=True)
+
     # Members
 
     def _on_member_change(self, event: events.MemberChange) -> None:
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -24,6 +24,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+STOP_LIMIT = datetime.timedelta(seconds=1)
+CLOSE_LINGER_MS = 200
 TICK = datetime.timedelta(milliseconds=50)
 CONFIRMATIONS_PERIOD_S = 1.0
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -90,6 +92,7 @@
         self._context: zmq.asyncio.Context | None = None
         self._router: zmq.asyncio.Socket | None = None
         self._peers: dict[model.Endpoint, zmq.asyncio.Socket] = {}
+        self._connected: tuple[entries.Member, ...] = ()
         self._route = _NO_ROUTE
         self._last_report = _Report()
 
@@ -114,11 +117,15 @@
             self._dissemination.publish(self._core.configuration)
 
     async def on_stop(self) -> None:
-        """Close all sockets."""
+        """Finish what is in progress, hand over and close all sockets."""
+        deadline = self._time.now() + STOP_LIMIT
+        while self._core.has_pending and self._time.now() < deadline:
+            await asyncio.sleep(TICK.total_seconds())
+        self._handle(events.Resigned())
         for peer in self._peers.values():
-            peer.close()
+            peer.close(CLOSE_LINGER_MS)
         if self._router is not None:
-            self._router.close()
+            self._router.close(CLOSE_LINGER_MS)
         if self._context is not None:
             self._context.term()
 
@@ -130,7 +137,8 @@
 
     @mode.Service.task
     async def _tick(self) -> None:
-        while not self.should_stop:
+        while True:
+            self._connect_members()
             self._handle(events.Tick())
             await asyncio.sleep(TICK.total_seconds())
 
@@ -145,7 +153,7 @@
         router = self._router
         if router is None:
             return
-        while not self.should_stop:
+        while True:
             frames = await router.recv_multipart()
             if len(frames) != 2:
                 self._count_malformed("receive frames", f"{len(frames)} parts")
@@ -153,7 +161,7 @@
             self._on_frame(frames[0], frames[1])
 
     async def _receive_replies(self, peer: zmq.asyncio.Socket) -> None:
-        while not self.should_stop:
+        while True:
             frames = await peer.recv_multipart()
             self._on_frame(b"", frames[-1])
 
@@ -267,6 +275,21 @@
         )
         return next(found, None)
 
+    def _connect_members(self) -> None:
+        """Keep connections to all members and to no other process.
+
+        An election then loses no message to a connection being made.
+        """
+        members = self._core.consensus.log.members
+        if members == self._connected:
+            return
+        self._connected = members
+        addresses = {member.address for member in members} - {self._address}
+        for address in self._peers.keys() - addresses:
+            self._peers.pop(address).close(CLOSE_LINGER_MS)
+        for address in addresses:
+            self._connect(address)
+
     def _connect(self, address: model.Endpoint) -> zmq.asyncio.Socket:
         known = self._peers.get(address)
         if known is not None:
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -151,7 +151,9 @@
 
     # Elections
 
-    def _start_election(self, *, pre_vote: bool) -> None:
+    def _start_election(
+        self, *, pre_vote: bool, transfer: bool = False
+    ) -> None:
         self._delay_election()
         self.role = Role.CANDIDATE
         self.leader = ""
@@ -164,7 +166,11 @@
             self._send(
                 identity,
                 entries.VoteRequest(
-                    term, self.log.last_index, self.log.last_term, pre_vote
+                    term,
+                    self.log.last_index,
+                    self.log.last_term,
+                    pre_vote,
+                    transfer,
                 ),
             )
         self._count_votes()
@@ -174,9 +180,8 @@
     ) -> None:
         # A member that hears a leader ignores candidates, so that a member
         # returning from isolation or removed cannot depose the leader.
-        if self.leading or self._now - self._heard_leader < (
-            ELECTION_TIMEOUT_MIN
-        ):
+        heard = self._now - self._heard_leader < ELECTION_TIMEOUT_MIN
+        if (self.leading or heard) and not message.transfer:
             return
         if message.term > self.term and not message.pre_vote:
             self._follow_term(message.term)
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -182,6 +182,10 @@
         self._deliver(member, core.QueryReceived(client, query))
         return client
 
+    def resign(self, member: FakeMember) -> None:
+        """Let a member hand its leadership over."""
+        self._deliver(member, events.Resigned())
+
     def run(self, duration: datetime.timedelta) -> None:
         """Let time pass."""
         end = self.now + duration
--- a/tests/control/test_group.py
+++ b/tests/control/test_group.py
@@ -97,6 +97,10 @@
     def crash(self, index: int) -> None:
         self.group.crash(self.pick(index))
 
+    @stateful.rule(index=INDEX)
+    def resign(self, index: int) -> None:
+        self.group.resign(self.pick(index))
+
     @stateful.rule(index=INDEX)
     def restart(self, index: int) -> None:
         member = self.pick(index)
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -148,6 +148,14 @@
         versions = [member.published.version for member in self.others]
         self.assertEqual(versions, [1, 1])
 
+    def test_leader_that_stops_is_replaced_at_once(self) -> None:
+        # Guards against a planned restart that stops changes until the
+        # election timeout.
+        self.group.resign(self.leader)
+        self.group.run(4 * cluster.STEP)
+        leader = self.group.find_leader()
+        self.assertIn(leader, self.others)
+
     def test_commands_continue_without_the_isolated_leader(self) -> None:
         self.isolate(self.leader)
         self.group.run(10 * SECOND)
