Run the client of the process tests in process; fuzz frames

Cause: each call of the client started an interpreter, and the frames that control decodes had no fuzz test.

The number of forgotten nodes that are kept is bounded (4,096), since nodes are replaced daily under new names. History names the action "forget" instead of "forgetnode".

--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -8,7 +8,13 @@
 from egretfork import model
 from egretfork import reasons
 
+ACTIONS: dict[type[commands.OperatorCommand], str] = {
+    commands.Apply: "apply",
+    commands.Drain: "drain",
+    commands.ForgetNode: "forget",
+}
 KEPT_REQUESTS = 1024
+KEPT_FORGOTTEN = 4096
 MAX_DRAINED_AGENTS = 4096
 
 
@@ -215,6 +221,8 @@
             )
         self.state.nodes.discard(command.node)
         self.state.forgotten[command.node] = self.state.version
+        if len(self.state.forgotten) > KEPT_FORGOTTEN:
+            del self.state.forgotten[next(iter(self.state.forgotten))]
         return self._accept(command)
 
     def _accept(self, command: commands.OperatorCommand) -> commands.Outcome:
@@ -241,7 +249,7 @@
             request_id=command.request_id,
             kind=kind,
             version=self.state.version,
-            action=type(command).__name__.lower(),
+            action=ACTIONS[type(command)],
             author=command.author,
             submitted_ms=command.submitted_ms,
             reason=reason,
--- a/tests/control/processes.py
+++ b/tests/control/processes.py
@@ -10,8 +10,13 @@
 import time
 import unittest
 
+from click import testing
 import msgspec
 
+from egretfork.client import program
+from egretfork.control import program as control
+from egretfork import settings
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 EXAMPLES = ROOT / "examples"
 
@@ -60,6 +65,12 @@
             text=True,
         ).stdout.strip()
 
+    def initialise_learner(self) -> None:
+        """Create the data folder of a learner without a process."""
+        common = settings.load(self._settings, control.ControlSettings)
+        assert isinstance(common, control.ControlSettings), common
+        control.initialise(common, first=False)
+
     def _build_command(self) -> list[str]:
         module = "egretfork.control.program"
         settings = str(self._settings)
@@ -97,15 +108,15 @@
         self.members = [self.add_member(f"control-{i}") for i in range(3)]
         first, second, third = self.members
         first.run_command("init", "--first")
-        second.run_command("init", "--learner")
-        third.run_command("init", "--learner")
+        second.initialise_learner()
+        third.initialise_learner()
         for member in self.members:
             member.start()
         for member in (second, third):
             result = self.run_client(
                 "members", "add", member.address, "--promote"
             )
-            self.assertEqual(result.returncode, 0, result.stdout)
+            self.assertEqual(result.exit_code, 0, result.stdout)
 
     def add_member(self, name: str) -> Member:
         """Prepare a process that ends with the test."""
@@ -113,23 +124,18 @@
         self.addCleanup(member.stop)
         return member
 
-    def run_client(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+    def run_client(self, *arguments: str) -> testing.Result:
         """Run the client against all members."""
         controls = (("--control", member.address) for member in self.members)
-        return subprocess.run(
-            [
-                *(sys.executable, "-m", "egretfork.client.program", "--json"),
-                *(part for control in controls for part in control),
-                *arguments,
-            ],
-            capture_output=True,
-            text=True,
+        options = [part for control in controls for part in control]
+        return testing.CliRunner().invoke(
+            program.main, ["--json", *options, *arguments]
         )
 
     def read_version(self) -> int:
         """Return the newest version as the leader knows it."""
         result = self.run_client("show")
-        if result.returncode:
+        if result.exit_code:
             return -1
         shown = msgspec.json.decode(result.stdout)
         return int(shown["configuration"]["version"])
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -4,11 +4,14 @@
 import unittest
 
 from click import testing
+import hypothesis
+from hypothesis import strategies
 
 from egretfork.client import output
 from egretfork.client import program
 from egretfork.client import session
 from egretfork.control import api
+from egretfork.control import commands
 from egretfork import model
 from egretfork import reasons
 from tests.control import processes
@@ -21,6 +24,25 @@
     return testing.CliRunner().invoke(program.main, arguments)
 
 
+class FrameTest(unittest.TestCase):
+    @hypothesis.given(strategies.binary(max_size=100))
+    def test_any_bytes_decode_or_fail_with_a_reason(self, data: bytes) -> None:
+        # Guards against a frame that ends the receiving task.
+        for decode in (api.decode_incoming, api.decode_reply):
+            result = decode(data, "peer")
+            if isinstance(result, reasons.Failure):
+                self.assertEqual(result.reason, reasons.Drop.MALFORMED)
+
+    @hypothesis.given(strategies.integers(0, 60), strategies.integers(0, 255))
+    def test_damaged_query_decodes_or_fails(
+        self, position: int, value: int
+    ) -> None:
+        drain = commands.Drain("request", "author", 1, "agent")
+        data = bytearray(api.encode(api.Submit(1, drain)))
+        data[position % len(data)] = value
+        api.decode_incoming(bytes(data), "peer")
+
+
 class ExitCodeTest(unittest.TestCase):
     def test_good_file_is_valid(self) -> None:
         self.assertEqual(run("check", COASTAL).exit_code, 0)
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -12,15 +12,15 @@
 
 EMPTY = str(processes.ROOT / "tests" / "control" / "empty.yaml")
 
-# About the time in which the client starts and sends its command.
-KILL_DELAY_S = 0.3
+# Shorter than a change takes, so that the kill falls into it.
+KILL_DELAY_S = 0.004
 
 
 class ControlProcessTest(processes.ProcessTest):
     def test_accepted_version_survives_the_kill_of_all_processes(self) -> None:
         # Guards against an answer that is sent before the entry is synced.
         applied = self.run_client("apply", COASTAL, "--request", "one")
-        self.assertEqual(applied.returncode, 0, applied.stdout)
+        self.assertEqual(applied.exit_code, 0, applied.stdout)
         for member in self.members:
             member.stop()
         for member in self.members:
@@ -37,9 +37,9 @@
         applied = self.run_client(
             "apply", TIBAY, "--base", "0", "--request", "one"
         )
-        self.assertEqual(applied.returncode, 0, applied.stdout)
+        self.assertEqual(applied.exit_code, 0, applied.stdout)
         stale = self.run_client("apply", COASTAL, "--base", "0")
-        self.assertEqual(stale.returncode, 1, stale.stdout)
+        self.assertEqual(stale.exit_code, 1, stale.stdout)
         self.members[0].start()
         processes.poll(lambda: self.read_version() == 1)
 
@@ -52,9 +52,9 @@
             file = TIBAY if base % 2 else EMPTY
             resent = ("--base", str(base), "--request", f"r{base}")
             applied = self.run_client("apply", file, *resent)
-            while applied.returncode == 3:
+            while applied.exit_code == 3:
                 applied = self.run_client("apply", file, *resent)
-            self.assertEqual(applied.returncode, 0, applied.stdout)
+            self.assertEqual(applied.exit_code, 0, applied.stdout)
             outcome = msgspec.json.decode(applied.stdout)
             self.assertEqual(outcome["version"], base + 1)
         self.assertEqual(self.read_version(), 12)
