--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -276,8 +276,8 @@
         group.crash(first)
         first.disk = image
         group.run_until(lambda: group.find_leader() is not None)
+        group.run(SECOND)
         group.start(first)
-        group.apply(first, "alone", 0)
         for _ in range(100):
             group.run(cluster.STEP)
             self.assertFalse(first.is_leader)
