Carry the operators' drain marks to entries and agents

Cause: a delta rebuilt the configuration from services and record groups only, so egretforkctl drain was accepted and never reached an agent. The demo did not see it, because it did not check work on the drained target.

The demo counts runs that the drained target starts later than 3 s after the drain was accepted.

A test fails for any field of Configuration that a delta drops.

--- a/src/egretfork/demo.py
+++ b/src/egretfork/demo.py
@@ -20,6 +20,7 @@
 import click
 import yaml
 
+from egretfork import clock
 from egretfork.standins import processes
 
 HOST = "127.0.0.1"
@@ -34,6 +35,9 @@
 STEP_S = 3.0
 FABRIC_DETECTION_S = 1.0
 MAX_PROBLEMS = 20
+DRAINED = "hatlog-3"
+RESTARTED = "mdm-sync-5"
+DRAIN_LIMIT_MS = 3000
 READY_LOG = '"detail": "ready"'
 
 
@@ -69,6 +73,7 @@
     wrong_answer: int
     sessions: int
     broken_flows: int
+    late_work: int
     imbalance: float
     crashed: tuple[str, ...]
     rss_kib: dict[str, int]
@@ -83,6 +88,7 @@
             "wrong_service",
             "wrong_answer",
             "broken_flows",
+            "late_work",
             "crashed",
         )
         broken = [name for name in promises if counts[name]]
@@ -392,19 +398,24 @@
         time.sleep(FABRIC_DETECTION_S)
         self._list_entries(without=1)
         time.sleep(STEP_S - FABRIC_DETECTION_S)
-        say("drain target hatlog-3")
-        self._control_client("drain", "hatlog-3")
+        say(f"drain target {DRAINED}")
+        self._control_client("drain", DRAINED)
+        drained_ms = clock.read_wall_clock_ms()
         time.sleep(STEP_S)
-        say("restart agent mdm-sync-5")
-        name = "agent-mdm-sync-5"
+        say(f"restart agent {RESTARTED}")
+        name = f"agent-{RESTARTED}"
         self._group.terminate(name, AGENT_STOP_TIMEOUT_S)
-        self._start_agent("mdm-sync-5", str(self._folder / f"{name}.yaml"))
+        self._start_agent(RESTARTED, str(self._folder / f"{name}.yaml"))
         callers.wait(SEND_S + REPORT_TIMEOUT_S)
         rss_kib = self._group.measure()
-        return self._compare(json.loads(report.read_text()), rss_kib)
+        told = json.loads(report.read_text())
+        return self._compare(told, rss_kib, drained_ms)
 
     def _compare(
-        self, told: dict[str, typing.Any], rss_kib: dict[str, int]
+        self,
+        told: dict[str, typing.Any],
+        rss_kib: dict[str, int],
+        drained_ms: int,
     ) -> Outcome:
         text = (self._folder / "runs.json").read_text(encoding="utf-8")
         runs = [json.loads(line) for line in text.splitlines()]
@@ -412,7 +423,7 @@
         for problem in told["problems"][:MAX_PROBLEMS]:
             say(problem)
         entries: dict[str, list[str]] = told["entries"]
-        disturbed = {"hatlog-3", "mdm-sync-5"}
+        disturbed = {DRAINED, RESTARTED}
         return Outcome(
             requests=told["requests"],
             answered=told["answered"],
@@ -435,6 +446,12 @@
             wrong_answer=told["wrong_answer"],
             sessions=told["sessions"],
             broken_flows=told["broken_flows"],
+            late_work=sum(
+                1
+                for run in runs
+                if run["target"] == DRAINED
+                and run["time_ms"] > drained_ms + DRAIN_LIMIT_MS
+            ),
             imbalance=round(measure_imbalance(runs, disturbed), 3),
             crashed=tuple(self._group.find_crashed()),
             rss_kib=rss_kib,
@@ -442,7 +459,7 @@
 
 
 def measure_imbalance(
-    runs: list[dict[str, str]], disturbed: set[str]
+    runs: list[dict[str, typing.Any]], disturbed: set[str]
 ) -> float:
     """Return the largest peak over mean of runs per target of a service."""
     work: dict[str, collections.Counter[str]] = {
--- a/src/egretfork/gossip/deltas.py
+++ b/src/egretfork/gossip/deltas.py
@@ -1,5 +1,6 @@
 """Deltas between configurations: compute, apply, compress, split."""
 
+import fnmatch
 import zlib
 
 import msgspec
@@ -29,6 +30,7 @@
     removed_services: tuple[str, ...]
     groups: tuple[model.RecordGroup, ...]
     removed_groups: tuple[str, ...]
+    drained_agents: tuple[str, ...] = ()
 
 
 _DECODER = msgspec.msgpack.Decoder(Delta)
@@ -50,6 +52,7 @@
             sorted(configuration.record_groups, key=lambda item: item.service)
         ),
         record_revision=configuration.record_revision,
+        drained_agents=tuple(sorted(configuration.drained_agents)),
     )
 
 
@@ -58,7 +61,11 @@
 
     A part of a configuration that did not change keeps its checksum.
     """
-    content = (configuration.services, configuration.record_groups)
+    content = (
+        configuration.services,
+        configuration.record_groups,
+        configuration.drained_agents,
+    )
     return xxhash.xxh3_64_intdigest(_ENCODER.encode(content))
 
 
@@ -68,17 +75,26 @@
     """Return what concerns one service; all of it if empty."""
     if not service:
         return configuration
+    services = tuple(
+        item for item in configuration.services if item.name == service
+    )
+    patterns = [pattern for item in services for pattern in item.targets]
     return model.Configuration(
         version=configuration.version,
-        services=tuple(
-            item for item in configuration.services if item.name == service
-        ),
+        services=services,
         record_groups=tuple(
             item
             for item in configuration.record_groups
             if item.service == service
         ),
         record_revision=configuration.record_revision,
+        # A mark that concerns no target of the service would change the
+        # part of every service, and so reach every agent.
+        drained_agents=tuple(
+            agent
+            for agent in configuration.drained_agents
+            if any(fnmatch.fnmatchcase(agent, item) for item in patterns)
+        ),
     )
 
 
@@ -108,6 +124,7 @@
         removed_groups=tuple(
             name for name in old_groups if name not in new_groups
         ),
+        drained_agents=new.drained_agents,
     )
 
 
@@ -131,6 +148,7 @@
             services=tuple(services.values()),
             record_groups=tuple(groups.values()),
             record_revision=delta.order.record_revision,
+            drained_agents=delta.drained_agents,
         )
     )
     if compute_checksum(result) != delta.checksum:
--- a/src/egretfork/standins/target.py
+++ b/src/egretfork/standins/target.py
@@ -22,6 +22,7 @@
 from aiocoap import optiontypes
 import click
 
+from egretfork import clock
 from egretfork import coap
 from egretfork import model
 from egretfork.standins import endpoint
@@ -134,6 +135,7 @@
         line = {
             "service": self.service,
             "target": self.name,
+            "time_ms": clock.read_wall_clock_ms(),
             "method": message.code.name,
             "key": bytes(option[0].encode()).hex() if option else "",
             "payload": message.payload.decode("utf-8", "replace"),
--- a/tests/gossip_network.py
+++ b/tests/gossip_network.py
@@ -14,9 +14,8 @@
 
 
 def make_service(name: str, **fields) -> model.Service:
-    return model.Service(
-        name=name, addresses=("10.0.0.1:5683",), targets=("*",), **fields
-    )
+    defaults = {"addresses": ("10.0.0.1:5683",), "targets": ("*",)}
+    return model.Service(name=name, **(defaults | fields))
 
 
 def make_configuration(version: int, revision: int = 0, services: int = 3):
--- a/tests/test_gossip_deltas.py
+++ b/tests/test_gossip_deltas.py
@@ -32,11 +32,19 @@
     )
 )
 
+DRAINED = strategies.sets(NAMES).map(tuple)
+
 
 @strategies.composite
 def configurations(draw, version: int):
     return deltas.normalize(
-        model.Configuration(version, draw(SERVICES), draw(GROUPS))
+        model.Configuration(
+            version,
+            draw(SERVICES),
+            draw(GROUPS),
+            draw(strategies.integers(0, 3)),
+            draw(DRAINED),
+        )
     )
 
 
@@ -49,6 +57,31 @@
             data = deltas.pack(deltas.compute(base, new))
             self.assertEqual(transfer.assemble(data, old), new)
 
+    def test_every_field_of_a_configuration_is_carried(self) -> None:
+        # Guards against a new field that dissemination silently drops.
+        whole = msgspec.structs.replace(
+            gossip_network.make_configuration(1),
+            record_groups=(model.RecordGroup("s-1", 1, ()),),
+            record_revision=7,
+            drained_agents=("s-1-a",),
+        )
+        for field in msgspec.structs.fields(model.Configuration):
+            self.assertNotEqual(getattr(whole, field.name), field.default)
+        data = deltas.pack(deltas.compute(deltas.EMPTY, whole))
+        self.assertEqual(transfer.assemble(data, deltas.EMPTY), whole)
+
+    def test_a_part_names_the_drained_agents_of_its_service(self) -> None:
+        whole = model.Configuration(
+            version=1,
+            services=(
+                gossip_network.make_service("s-1", targets=("s-1-*",)),
+                gossip_network.make_service("s-2", targets=("s-2-*",)),
+            ),
+            drained_agents=("s-1-a", "s-2-b"),
+        )
+        part = deltas.select_part(whole, "s-2")
+        self.assertEqual(part.drained_agents, ("s-2-b",))
+
     def test_delta_of_another_base_is_rejected(self) -> None:
         first, second, third = (
             gossip_network.make_configuration(version) for version in (1, 2, 3)
