Measure the entry with its sockets and test the command's exit codes

The benchmark left out the sockets, which cost more than the decision.

egretfork-bench entry also sends bursts of 64 datagrams through an entry on loopback and takes the process time of a packet from ingress to agent.

--- a/src/egretfork/bench/entry.py
+++ b/src/egretfork/bench/entry.py
@@ -1,7 +1,10 @@
 """Measurements of the entry: packet path by number of flows, and table."""
 
+import asyncio
 import collections.abc
+import contextlib
 import datetime
+import functools
 import gc
 import itertools
 import random
@@ -12,12 +15,18 @@
 import typing
 
 import click
+import mode
 import msgspec
 
 from egretfork import actions
+from egretfork import clock
 from egretfork.entry import core
+from egretfork.entry import ingress
 from egretfork.entry import proxy
+from egretfork.entry import shell
+from egretfork import metrics
 from egretfork import model
+from egretfork import pktinfo
 from egretfork.routing import ranking
 from egretfork.routing import table
 from egretfork import wire
@@ -26,12 +35,15 @@
 TARGETS = 2_700
 FLOW_COUNTS = (1_000, 10_000, 100_000, 300_000)
 BATCH_PACKETS = 2_000
+BURST_PACKETS = 64
+MAX_RECEIVE_BYTES = 2_048
 REPETITIONS = 11
 SAMPLE_STEP = 10
 SEED = 1
 SERVICE_PORT = 5683
 PAYLOAD = b"\x48\x01\x00\x01" + bytes(range(8)) + b"\xb4feed\xff" + bytes(64)
 ENTRY = model.Endpoint("10.255.0.1", 6000)
+ANY_PORT = model.Endpoint("127.0.0.1", 0)
 NO_TIME = datetime.timedelta()
 
 Item = typing.TypeVar("Item")
@@ -88,10 +100,26 @@
     full_bytes: int
 
 
+class SocketResult(msgspec.Struct, frozen=True):
+    """Packet path of one entry with its sockets, from ingress to agent.
+
+    Attributes:
+        flows: flows whose packets were mixed at random.
+        packet_us: median process time of a packet, in bursts of
+            ``BURST_PACKETS``.
+        packets_per_s: packets that one core carries in a second.
+    """
+
+    flows: int
+    packet_us: float
+    packets_per_s: int
+
+
 class EntryResult(msgspec.Struct, frozen=True):
     """All figures of the entry."""
 
     packets: tuple[PacketResult, ...]
+    sockets: SocketResult
     table: TableResult
 
 
@@ -204,12 +232,16 @@
 
     def measure_batch(self) -> None:
         """Time packets of flows that are drawn at random."""
-        numbers = self._random.choices(range(self.flows), k=BATCH_PACKETS)
-        batch = [self._build_packet(number) for number in numbers]
+        batch = self.build_packets(BATCH_PACKETS)
         self.packet_us.append(_time_each(self._handle_packet, batch))
         events = [self._decode_packet(packet) for packet in batch]
         self.decision_us.append(_time_each(self._decide, events))
 
+    def build_packets(self, count: int) -> list[bytes]:
+        """Build packets of flows that are drawn at random."""
+        numbers = self._random.choices(range(self.flows), k=count)
+        return [self._build_packet(number) for number in numbers]
+
     def _open_flows(self) -> None:
         for number in range(self.flows):
             self._handle_packet(self._build_packet(number))
@@ -247,6 +279,98 @@
     return (time.perf_counter() - start) / len(items) * 1e6
 
 
+class _FixedSource(mode.Service):
+    """Delivers one configuration; all agents listen on one port."""
+
+    def __init__(
+        self,
+        port: int,
+        on_configuration: collections.abc.Callable[
+            [model.Configuration], None
+        ],
+        on_announcements: collections.abc.Callable[
+            [tuple[model.TargetAnnouncement, ...]], None
+        ],
+    ) -> None:
+        super().__init__()
+        self._port = port
+        self._on_configuration = on_configuration
+        self._on_announcements = on_announcements
+
+    async def on_start(self) -> None:
+        """Call back once."""
+        self._on_configuration(build_configuration(SERVICES))
+        self._on_announcements(
+            tuple(
+                msgspec.structs.replace(
+                    item, address=self._place_agent(number)
+                )
+                for number, item in enumerate(
+                    build_announcements(SERVICES, TARGETS)
+                )
+            )
+        )
+
+    def _place_agent(self, number: int) -> model.Endpoint:
+        host = f"127.2.{number // 250}.{number % 250 + 1}"
+        return model.Endpoint(host, self._port)
+
+
+async def measure_sockets(
+    flows: int = FLOW_COUNTS[0], bursts: int = 300
+) -> SocketResult:
+    """Measure an entry with its sockets on loopback."""
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    agents = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    agents.bind((pktinfo.WILDCARD, 0))
+    agents.setblocking(False)
+    faces: list[ingress.ProxyIngress] = []
+
+    def build_ingress(handler: ingress.Handler) -> ingress.Ingress:
+        faces.append(ingress.ProxyIngress(ANY_PORT, handler))
+        return faces[0]
+
+    entry = shell.EntryService(
+        ANY_PORT,
+        build_ingress,
+        functools.partial(_FixedSource, agents.getsockname()[1]),
+        metrics.Metrics(),
+        clock.MonotonicClock(),
+        functools.partial(asyncio.sleep, 0),
+    )
+    await entry.start()
+    run = _Run(flows, random.Random(SEED), SERVICES, TARGETS)
+    times = []
+    for _ in range(bursts):
+        for packet in run.build_packets(BURST_PACKETS):
+            caller.sendto(packet, _get_socket_address(faces[0].address))
+        times.append(await _time_burst(agents))
+    await entry.stop()
+    caller.close()
+    agents.close()
+    packet_us = statistics.median(times)
+    return SocketResult(flows, round(packet_us, 2), round(1e6 / packet_us))
+
+
+async def _time_burst(agents: socket.socket) -> float:
+    """Return the process time of a packet until a burst has arrived."""
+    arrived = 0
+    spent = 0.0
+    while arrived < BURST_PACKETS:
+        start = time.process_time()
+        await asyncio.sleep(0)
+        spent += time.process_time() - start
+        with contextlib.suppress(BlockingIOError):
+            while agents.recv(MAX_RECEIVE_BYTES):
+                arrived += 1
+    return spent / BURST_PACKETS * 1e6
+
+
+def _get_socket_address(endpoint: model.Endpoint) -> tuple[str, int]:
+    """Return an endpoint as a socket address."""
+    return (endpoint.host, endpoint.port)
+
+
 def measure_table(
     services: int = SERVICES, targets: int = TARGETS
 ) -> TableResult:
@@ -339,5 +463,9 @@
 @click.option("--rounds", default=15, show_default=True, help="Repetitions.")
 def command(rounds: int) -> None:
     """Measure the packet path and the routing table of an entry."""
-    result = EntryResult(measure_packets(rounds=rounds), measure_table())
+    result = EntryResult(
+        measure_packets(rounds=rounds),
+        asyncio.run(measure_sockets()),
+        measure_table(),
+    )
     click.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,7 @@
 import socket
 import unittest
 
+from click import testing
 import hypothesis
 from hypothesis import strategies
 import mode
@@ -266,6 +267,24 @@
             self.assertIn(detail, result.detail)
 
 
+class CommandTest(unittest.TestCase):
+    def test_check_reports_by_exit_code(self) -> None:
+        # Guards against a daemon that is restarted with settings that
+        # cannot work.
+        text = (
+            "{name: e1, availability_zone: a, host: 127.0.0.1, port: 6,"
+            " gossip: {}, ingress: {mode: direct, listen: [%s]}}"
+        )
+        runner = testing.CliRunner()
+        with runner.isolated_filesystem():
+            path = program.pathlib.Path("entry.yaml")
+            for listen, code in (("0.0.0.0:5683", 0), ("localhost:5683", 2)):
+                path.write_text(text % listen)
+                arguments = ["--settings", str(path), "--check"]
+                result = runner.invoke(program.main, arguments)
+                self.assertEqual(result.exit_code, code, result.output)
+
+
 class FakeSource(mode.Service):
     """Delivers one configuration and one agent when it starts."""
 
