--- a/tests/flows_support.py
+++ b/tests/flows_support.py
@@ -28,7 +28,6 @@
 SERVICE = "hatlog"
 SERVICE_ADDRESS = model.Endpoint("10.0.9.1", 5683)
 WALL_CLOCK_ZERO_MS = 1_700_000_000_000
-ZERO = datetime.timedelta()
 TICK_S = 0.05
 CALLER_TIMEOUT_S = 2.0
 CALLER_RETRIES = 4
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -9,8 +9,6 @@
 import msgspec
 
 from egretfork.agent import events
-from egretfork.agent import flowrecords
-from egretfork.agent import flows
 from egretfork.bench import flows as bench_flows
 from egretfork import coap
 from egretfork import model
@@ -183,7 +181,9 @@
         node = world.nodes["t0"]
         self.assertGreater(node.core.flow_count, 0)
         world.stop(node)
-        world.run(20)
+        world.run(2.9)
+        self.assertEqual(node.core.flow_count, 0)
+        world.run(17)
         self.assertFalse(node.alive)
         # Three losses in a row would delay a notification past the check.
         world.loss = 0.0
@@ -212,6 +212,24 @@
         for exchange in exchanges:
             self.assertEqual(exchange.answers[0].payload, exchange.payload)
             self.assertEqual(world.runs[exchange.payload], 1)
+        # Acknowledgements of the answers reach the agents that sent them.
+        self.assertFalse(world.nodes["t0"].alive)
+        self.assertFalse(world.nodes["t1"].alive)
+
+    def test_requests_during_a_move_are_not_refused(self) -> None:
+        # Guards against refusals by an agent whose successor has room.
+        world = build_world()
+        callers = [world.add_caller() for _ in range(40)]
+        for caller in callers:
+            caller.request()
+        world.run(2)
+        exchanges = [caller.request() for caller in callers]
+        world.run(0.002)
+        world.stop(world.nodes["t0"])
+        world.delay_s = (0.3, 0.4)
+        world.run(5)
+        for exchange in exchanges:
+            self.assertEqual(exchange.answers[0].payload, exchange.payload)
 
     def test_the_successor_answers_duplicates_of_earlier_messages(
         self,
@@ -265,26 +283,30 @@
 
     def test_a_merged_flow_goes_on_above_both_owners(self) -> None:
         # Guards against notifications that the caller takes for old ones.
-        caller = flows_support.World().add_caller()
-        for own, other in ((5, 2051), (2051, 5)):
-            flow = flows.Flow(
-                caller.flow, 1, flows.Stamp(1, "t0"), own, flows_support.ZERO
-            )
-            session = flows.Session(b"t", b"", own, 1)
-            flow.sessions = {b"t": session}
-            record = wire.FlowRecord(
-                caller.flow,
-                1,
-                2,
-                "t1",
-                (wire.SessionRecord(b"t", b"", other),),
-                (),
-                (),
-                other,
-            )
-            flowrecords.merge_counters(flow, record)
-            self.assertGreaterEqual(session.sequence, 2051)
-            self.assertGreaterEqual(flow.next_message_id, 2051)
+        world = build_world()
+        caller = world.add_caller()
+        watch = caller.observe()
+        world.run(1)
+        owner = next(n for n in world.nodes.values() if n.core.flow_count)
+        ((token, exchange),) = caller.exchanges.items()
+        record = wire.FlowRecord(
+            caller.flow,
+            caller.bucket,
+            1,
+            "t9",
+            (wire.SessionRecord(token, exchange.data, 2051),),
+            (),
+            (),
+            7,
+        )
+        peer = model.Endpoint("10.0.2.99", 7100)
+        world.by_endpoint[peer] = owner
+        message = wire.FlowTransfer(flows_support.SERVICE, 1, peer, (record,))
+        world.handle(owner, events.MessageReceived(peer, message))
+        world.publish()
+        world.run(1)
+        self.assertGreater(watch.sequence, 2051)
+        self.assertEqual(watch.value, 1)
 
     def test_a_drained_target_gets_no_new_work(self) -> None:
         # Guards against work on a leaving target after 3 s.
