Do not eject a target because of its callers' short deadlines

Such a run now counts only if it took ten mean run times. The new test fails without the change: ('answered', '') != ('refused', 'unhealthy').

--- a/src/egretfork/agent/runs.py
+++ b/src/egretfork/agent/runs.py
@@ -15,6 +15,7 @@
 from egretfork import wire
 
 RUN_TIME_WEIGHT = 0.05
+LONG_RUN = 10
 
 
 class Retrier(typing.Protocol):
@@ -194,10 +195,23 @@
         if ended.kind is wire.WorkResultKind.REFUSED:
             self._health.note_refusal(now)
             return
-        # A run that its caller cancelled says nothing about the target.
-        if not work.cancelled:
+        if not self._is_callers_doing(work, spent):
             self._health.note_failure(now)
 
+    def _is_callers_doing(
+        self, work: works.Work, spent: datetime.timedelta
+    ) -> bool:
+        """Return whether a run was cut short by its caller.
+
+        Callers with short deadlines must not eject a target that answers
+        others; a run much longer than usual counts against the target.
+        """
+        if work.cancelled:
+            return True
+        if work.stage is works.Stage.RUNNING or self.mean_run is None:
+            return False
+        return spent < self.mean_run * LONG_RUN
+
     def expire(self, now: datetime.timedelta) -> None:
         """End the requests whose deadline passes while they run."""
         late = [
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -327,6 +327,18 @@
         fixture.run(500)
         self.assertEqual(ANSWERED, fixture.outcome(trial))
 
+    def test_short_deadlines_do_not_eject_a_target(self):
+        fixture = support.Fixture(count=1)
+        only = fixture.addresses[0]
+        fixture.submit(only, b"read")
+        fixture.run(200)
+        for _ in range(5):
+            fixture.submit(only, b"read", b"", 0, 10)
+            fixture.run(200)
+        request = fixture.submit(only, b"read")
+        fixture.run(200)
+        self.assertEqual(ANSWERED, fixture.outcome(request))
+
     def test_answers_outrank_failed_probes(self):
         fixture = support.Fixture(count=1)
         only = fixture.addresses[0]
