Enter every epoch, also when groups change in quick succession

Cause: a member that heard of epoch e+1 before it had loaded e dropped the load, or had never heard of e, and so could not be sealed for e. When a majority of e did so, no later epoch was ever served and every non-idempotent request got 5.04. Groups are now entered in order, the one that was missed is rebuilt from its neighbours, and questions go to the newest group. A load that takes longer than records are kept is given up once a later group is known.

Not covered: a member that missed two groups or more in a row.

--- a/src/egretfork/agent/grants.py
+++ b/src/egretfork/agent/grants.py
@@ -98,7 +98,7 @@
         )
 
     def _send_to_primary(self, query_id: int, query: RecordQuery) -> None:
-        group = self._member.group
+        group = self._member.newest
         if group is None or not group.members:
             return
         index = records.choose_primary(group, query.key)
--- a/src/egretfork/agent/records.py
+++ b/src/egretfork/agent/records.py
@@ -48,9 +48,10 @@
 class RecordMember:
     """Decides about keys as primary and holds records as replica.
 
-    ``group`` is the newest known group of the service. Votes are given
-    only while ``serving``: the agent is a member, the records of the epoch
-    before are loaded, and the epoch is not sealed.
+    ``newest`` is the newest known group of the service, and ``group`` the
+    one that the member has entered. Votes are given only while
+    ``serving``: the agent is a member, the records of the epoch before are
+    loaded, and the epoch is not sealed.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self._context = context
         self._peers = table
         self.group: model.RecordGroup | None = None
+        self.newest: model.RecordGroup | None = None
         self.table = recordtable.RecordTable()
         self.serving = False
         self.lost_before_ms = 0
--- a/src/egretfork/agent/seals.py
+++ b/src/egretfork/agent/seals.py
@@ -1,5 +1,6 @@
 """Change of epoch: sealing the one before and loading its records."""
 
+import collections
 import dataclasses
 import datetime
 import functools
@@ -13,6 +14,7 @@
 
 PAGE_RECORDS = 100
 SEAL_RESEND = datetime.timedelta(milliseconds=100)
+MAX_GROUPS_AHEAD = 64
 SNAPSHOT_LIFETIME = datetime.timedelta(minutes=10)
 
 
@@ -54,24 +56,63 @@
         self._snapshot: Snapshot | None = None
         self._sources: tuple[Source, ...] = ()
         self._loading = 0
+        self._began = datetime.timedelta()
+        self._ahead: collections.deque[model.RecordGroup] = collections.deque(
+            maxlen=MAX_GROUPS_AHEAD
+        )
 
     def handle_group(
         self, group: model.RecordGroup, now: datetime.timedelta
     ) -> None:
-        """Take up the group of a newer epoch."""
-        current = self._member.group
-        if current is not None and group.epoch <= current.epoch:
+        """Take up the group of a newer epoch, after those before it.
+
+        A member that left out an epoch could not be sealed for it, and if
+        a majority did, no later epoch would ever be served.
+        """
+        newest = self._member.newest
+        if newest is not None and group.epoch <= newest.epoch:
             return
+        self._member.newest = group
+        self._ahead.append(group)
+        self._advance(now)
+
+    def _advance(self, now: datetime.timedelta) -> None:
+        while self._ahead and not self._loading:
+            group = self._find_missed(self._ahead[0])
+            if group is None:
+                group = self._ahead.popleft()
+            self._enter(group, now)
+
+    def _find_missed(
+        self, group: model.RecordGroup
+    ) -> model.RecordGroup | None:
+        """Return the group between the present one and the next."""
+        current = self._member.group
+        if current is None or group.epoch != current.epoch + 2:
+            return None
+        if self._context.identity not in group.previous:
+            return None
+        return model.RecordGroup(
+            group.service,
+            current.epoch + 1,
+            group.previous,
+            current.members,
+        )
+
+    def _enter(
+        self, group: model.RecordGroup, now: datetime.timedelta
+    ) -> None:
+        current = self._member.group
         if current is not None and self._member.serving:
             self._seal(current.epoch, now)
         self._member.enter(group)
-        self._loading = 0
         if self._context.identity not in group.members:
             self._member.table.clear()
             return
         if not group.previous:
             self._member.serving = True
             return
+        self._began = now
         self._load(group, now)
 
     def _seal(self, epoch: int, now: datetime.timedelta) -> None:
@@ -133,7 +174,7 @@
         self._sources = tuple(Source(item) for item in group.previous)
         for source in self._sources:
             source.done = source.member == own and snapshot is not None
-        if not self._finish():
+        if not self._finish(now):
             self._ask(group.epoch, now)
 
     def _ask(self, epoch: int, now: datetime.timedelta) -> None:
@@ -141,7 +182,12 @@
             return
         for source in self._sources:
             self._ask_source(source)
-        if self._finish() or self._serve_without_lost(now):
+        if self._finish(now) or self._serve_without_lost(now):
+            return
+        if self._ahead and now - self._began >= SNAPSHOT_LIFETIME:
+            # The members before have forgotten the records by now.
+            self._loading = 0
+            self._advance(now)
             return
         self._context.timers.schedule(
             now + SEAL_RESEND, functools.partial(self._ask, epoch)
@@ -184,14 +230,14 @@
         )
         source.offset += len(reply.records)
         source.done = source.offset >= reply.total
-        if not self._finish() and not source.done:
+        if not self._finish(now) and not source.done:
             self._ask_source(source)
 
-    def _finish(self) -> bool:
+    def _finish(self, now: datetime.timedelta) -> bool:
         sealed = sum(1 for source in self._sources if source.done)
         if sealed < records.count_majority(len(self._sources)):
             return False
-        self._serve()
+        self._serve(now)
         return True
 
     def _serve_without_lost(self, now: datetime.timedelta) -> bool:
@@ -211,10 +257,11 @@
             step="load records",
             detail=f"{gone} of {len(self._sources)} members have ended",
         )
-        self._serve()
+        self._serve(now)
         return True
 
-    def _serve(self) -> None:
+    def _serve(self, now: datetime.timedelta) -> None:
         self._loading = 0
         self._member.table.sort_by_age()
         self._member.serving = True
+        self._advance(now)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -143,6 +143,24 @@
         self.assertEqual(ANSWERED, fixture.outcome(resent))
         self.assertEqual(1, fixture.targets.count(b"write"))
 
+    def test_epochs_in_quick_succession_are_all_entered(self):
+        """Members that leave an epoch out cannot be sealed for it."""
+        for told in (True, False):
+            fixture = support.Fixture(count=6)
+            key = fixture.make_key(1)
+            fixture.submit(fixture.addresses[0], b"write", key)
+            fixture.run(500)
+            fixture.agents.form_group(fixture.addresses[1:4])
+            if told:
+                fixture.configure_all()
+            fixture.agents.form_group(fixture.addresses[3:])
+            fixture.configure_all()
+            fixture.run(1000)
+            resent = fixture.submit(fixture.addresses[5], b"write", key)
+            fixture.run(1000)
+            self.assertEqual(ANSWERED, fixture.outcome(resent))
+            self.assertEqual(1, fixture.targets.count(b"write"))
+
     def lose_majority(self, fixture):
         """Restart two of three members and form the next group."""
         for index in (0, 1):
