--- a/src/egretfork/coap.py
+++ b/src/egretfork/coap.py
@@ -12,6 +12,7 @@
 from aiocoap.numbers import types
 from aiocoap import optiontypes
 
+from egretfork import coapheader
 from egretfork import reasons
 
 # The codec is used without a context, so message ID, type and token are set
@@ -24,12 +25,11 @@
 REQUEST_ATTEMPT = optionnumbers.OptionNumber(65005)
 DEADLINE_MS = optionnumbers.OptionNumber(65008)
 
-MAX_TOKEN_BYTES = 8
 REQUEST_KEY_BYTES = 16
 REQUEST_KEY_UUID_VERSION = 7
 MAX_DEADLINE = datetime.timedelta(minutes=5)
 MAX_UINT_BYTES = 4
-HEADER_BYTES = 4
+HEADER_BYTES = coapheader.HEADER_BYTES
 
 IDEMPOTENT_CODES = frozenset(
     (codes.GET, codes.PUT, codes.DELETE, codes.FETCH, codes.iPATCH)
@@ -87,16 +87,9 @@
 
 def decode(data: bytes, peer: str) -> aiocoap.Message | reasons.Failure:
     """Decode a datagram received from ``peer``."""
-    if len(data) < HEADER_BYTES:
-        return _report_damage(peer, "shorter than the CoAP header")
-    # aiocoap accepts token lengths 9 to 15, which RFC 7252 section 3
-    # defines as a message format error.
-    if data[0] & 0x0F > MAX_TOKEN_BYTES:
-        return _report_damage(peer, "token length over 8")
-    if len(data) < HEADER_BYTES + (data[0] & 0x0F):
-        return _report_damage(peer, "token cut off")
-    if data[1] == 0 and len(data) != HEADER_BYTES:
-        return _report_damage(peer, "empty message with content")
+    damage = coapheader.find_damage(data)
+    if damage is not None:
+        return _report_damage(peer, damage)
     try:
         message = aiocoap.Message.decode(data)
         # Options are decoded lazily for some types; force it here so that
@@ -109,8 +102,8 @@
         AttributeError,
         TypeError,
         OverflowError,
-    ) as damage:
-        return _report_damage(peer, str(damage))
+    ) as cause:
+        return _report_damage(peer, str(cause))
     return message
 
 
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -63,10 +63,20 @@
 
 
 class OwnerHint(Message, frozen=True, tag=3):
-    """Tells the sender of a passed-on datagram who owns the flow."""
+    """Tells the agents of a bucket's list who owns a flow.
+
+    Attributes:
+        flow: the flow.
+        owner: agent that owns it.
+        admitted_incarnation: with ``admitted_agent``, the admission; of
+            two owners the one with the smaller admission keeps the flow.
+        admitted_agent: agent that admitted the flow; empty if unknown.
+    """
 
     flow: FlowKey
     owner: model.Endpoint
+    admitted_incarnation: int = 0
+    admitted_agent: str = ""
 
 
 class SessionRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -117,8 +127,14 @@
 class LoadHint(Message, frozen=True, tag=6):
     """What an agent tells the other agents of its service about itself.
 
-    ``first_deadline_ms`` is the time left of the first waiting request
-    when the hint is sent.
+    Attributes:
+        admitted: flows admitted since the start of the agent.
+        shedding: the agent takes no new flows for now.
+        paced: the agent takes new flows only if no other agent does.
+        entries: entries that the agent heard last, through which a peer
+            can reach callers when the entries it knows have died.
+        first_deadline_ms: time left of the first waiting request when the
+            hint is sent.
     """
 
     service: str
@@ -130,6 +146,10 @@
     waiting: int
     state: model.TargetState
     weight: float = 1.0
+    admitted: int = 0
+    shedding: bool = False
+    paced: bool = False
+    entries: tuple[model.Endpoint, ...] = ()
     first_deadline_ms: int = 0
 
 
