Let the bench of control wait until its group leads

Cause: since a group of one waits for an election timeout, the bench made no changes and ended with a timeout after 30 s. It now waits for the leader and checks the number of changes.

--- a/src/egretfork/bench/control.py
+++ b/src/egretfork/bench/control.py
@@ -38,9 +38,10 @@
 
     Attributes:
         load_ms: reading the files into a state machine, in process.
-        start_ms: from the start of the process until it answers with the
-            version, including the start of the interpreter.
-        lead_ms: until it leads its group of one.
+        start_ms: from the start of the process until it answers, including
+            the start of the interpreter.
+        lead_ms: until it leads its group of one at the newest version,
+            which includes an election timeout of 1.5 to 3 s.
     """
 
     changes: int
@@ -123,18 +124,22 @@
     segment = common.folder / storage.SEGMENT_FILE
     growth = Growth(0, 0)
     since_compaction = 0
-    for change in range(-1, changes):
+    while decisions.consensus.leading is None:
+        now += TICK
+        _carry_out(stored, decisions.handle(events.Tick(), now))
+    for change in range(changes):
         now += TICK
         before = segment.stat().st_size
         _carry_out(stored, decisions.handle(events.Tick(), now))
-        if change >= 0:
-            query = api.Submit(1, build_apply(services, change))
-            event = core.QueryReceived(b"bench", query)
-            _carry_out(stored, decisions.handle(event, now))
+        query = api.Submit(1, build_apply(services, change))
+        event = core.QueryReceived(b"bench", query)
+        _carry_out(stored, decisions.handle(event, now))
         size = segment.stat().st_size
         since_compaction = since_compaction + 1 if size > before else 0
         if size > growth.bytes:
             growth = Growth(max(since_compaction, 1), size)
+    if decisions.configuration.version != changes:
+        raise RuntimeError(f"made {decisions.configuration.version} changes")
     return growth
 
 
