--- a/src/egretfork/agent/dispatch.py
+++ b/src/egretfork/agent/dispatch.py
@@ -74,6 +74,7 @@
         """Take up the slots and the queue limit of a configuration."""
         self._slots = service.slots
         self.queue.limit = service.queue
+        self.ends.limit = service.queue + outcomes.MAX_BESIDES_QUEUE
 
     def is_draining(self, now: datetime.timedelta) -> bool:
         """Return whether the agent takes no new work."""
@@ -92,7 +93,7 @@
         if self._drained_at is not None:
             return
         self._drained_at = now
-        for work in self.queue:
+        for work in self.queue.list_until(datetime.timedelta.max):
             if work.foreign and not work.granted:
                 self.queue.remove(work)
                 self.ends.refuse(work, reasons.Refusal.DRAINING, now)
@@ -168,7 +169,7 @@
     def pump(self, now: datetime.timedelta) -> None:
         """Refuse what expires, start what can run, pull from peers."""
         self._expire_queue(now)
-        while self.count_free_slots(now) > self.handover.pulls:
+        while self.count_free_slots(now) > self.handover.puller.unanswered:
             if self._pull(now):
                 continue
             work = self.queue.take(self._may_start)
@@ -181,7 +182,7 @@
         """Return whether a slot is free for a peer's request."""
         if self.is_draining(now):
             return False
-        return self.count_free_slots(now) > self.handover.pulls
+        return self.count_free_slots(now) > self.handover.puller.unanswered
 
     def _may_start(self, work: works.Work) -> bool:
         return work.granted or self._context.address not in work.tried
@@ -193,16 +194,14 @@
         source = self._peers.choose_source(now)
         if source is None:
             return False
-        self.handover.pull(source, now)
+        self.handover.puller.pull(source, now)
         return True
 
     def _expire_queue(self, now: datetime.timedelta) -> None:
         expired: list[works.Work] = []
         mean = self.runs.mean_run or datetime.timedelta()
         horizon = now + MAX_MARGIN + mean * START_RESERVE
-        for work in self.queue:
-            if work.deadline > horizon:
-                break
+        for work in self.queue.list_until(horizon):
             reserve = self._read_reserve(work, START_RESERVE)
             if work.deadline - read_margin(work) - reserve <= now:
                 expired.append(work)
