Clear suspects that have too few observers by now

A node that started empty knew at most two agents of a service, for which one observer is enough, and removed an agent that no other node held as suspect; they differed for ever, because the agent saw no reason to refute. With the check removed the new test_suspect_of_a_starting_node_is_cleared is to fail: the suspect stays.

--- a/src/egretfork/gossip/membership.py
+++ b/src/egretfork/gossip/membership.py
@@ -14,6 +14,7 @@
 EXPIRY_DELAY = datetime.timedelta(seconds=5)
 EXPIRY_WINDOW = datetime.timedelta(seconds=10)
 SUSPICION_LIFETIME = datetime.timedelta(seconds=10)
+MAX_OBSERVERS = 2
 EXPIRED_RETENTION = datetime.timedelta(hours=2)
 # An old announcement may arrive from a region that was cut off for long.
 LEFT_RETENTION = datetime.timedelta(hours=24)
@@ -88,16 +89,18 @@
             return Outcome.KNOWN
         if suspicion.observer in known.suspicions:
             return Outcome.KNOWN
-        if known.suspected_at is not None:
+        if len(known.suspicions) >= MAX_OBSERVERS:
             return Outcome.KNOWN
         known.suspicions[suspicion.observer] = now
         self._accused.add(suspicion.agent)
-        if len(known.suspicions) >= self._count_needed_observers(known):
+        needed = self._count_needed_observers(known)
+        if known.suspected_at is None and len(known.suspicions) >= needed:
             self._mark_suspect(known, now)
         return Outcome.NEWER
 
     def expire(self, now: datetime.timedelta) -> None:
         """Remove suspect targets that are due, and old records."""
+        self._revise_suspects()
         self._drop_single_suspicions(now)
         due = {
             self._store.targets[name].announcement.service
@@ -142,9 +145,27 @@
         self._store.update_target(record)
         self.changed_services.add(record.announcement.service)
 
+    def _revise_suspects(self) -> None:
+        """Clear suspects that have too few observers by now.
+
+        A node that starts knows few agents of a service at first, for
+        which one observer would be enough.
+        """
+        for name in list(self._suspected):
+            record = self._store.targets[name]
+            needed = self._count_needed_observers(record)
+            if len(record.suspicions) >= needed:
+                continue
+            record.suspected_at = None
+            record.expired_at = None
+            self._suspected.discard(name)
+            self._accused.add(name)
+            self._store.update_target(record)
+            self.changed_services.add(record.announcement.service)
+
     def _count_needed_observers(self, record: store.TargetRecord) -> int:
         members = self._list_members(record.announcement.service)
-        return 1 if len(members) <= 2 else 2
+        return 1 if len(members) <= 2 else MAX_OBSERVERS
 
     def _list_members(self, service: str) -> list[store.TargetRecord]:
         return [
--- a/tests/test_gossip_membership.py
+++ b/tests/test_gossip_membership.py
@@ -80,6 +80,18 @@
         self.suspect("a0", 1, observers=("o1",))
         self.assertTrue(self.members.is_suspect("a0"))
 
+    def test_suspect_of_a_starting_node_is_cleared(self) -> None:
+        """A node that knew too few agents must not differ for ever."""
+        self.add(1)
+        self.suspect("a0", 1, observers=("o1",))
+        self.members.expire(at(7))
+        self.add(4)
+        self.members.expire(at(8))
+        self.assertFalse(self.members.is_suspect("a0"))
+        self.members.expire(at(20))
+        known = self.exchange.records.targets["a0"]
+        self.assertEqual((known.suspicions, known.expired_at), ({}, None))
+
     def test_removed_five_seconds_after_suspicion(self) -> None:
         self.add(4)
         self.suspect("a0", 1)
