--- a/src/egretfork/gossip/exchange.py
+++ b/src/egretfork/gossip/exchange.py
@@ -138,7 +138,11 @@
     def compare_cells(
         self, cells: collections.abc.Iterable[int], batch: messages.RecordBatch
     ) -> list[messages.CellRecords]:
-        """Return what the sender of the complete cells does not have."""
+        """Return what the sender of the complete cells does not have.
+
+        To a node that started empty this would be thousands of records,
+        from each node that sends it a digest; the rest follows later.
+        """
         own = join(
             self.records.get_cell(cell)
             for cell in cells
@@ -167,7 +171,7 @@
         )
         return [
             messages.CellRecords((), messages.pack_batch(part), last=False)
-            for part in divide(lacking)
+            for part in divide(lacking)[:MAX_CELL_DATAGRAMS]
         ]
 
     def _collect(
