--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -9,6 +9,7 @@
 
     UNKNOWN_ADDRESS = "unknown_address"
     MALFORMED = "malformed"
+    UNTRUSTED_SENDER = "untrusted_sender"
     NO_CONFIGURATION = "no_configuration"
     NO_TARGETS = "no_targets"
     WRONG_SERVICE = "wrong_service"
@@ -29,7 +30,6 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     UNHEALTHY = "unhealthy"
-    STOPPING = "stopping"
     MISSING_REQUEST_KEY = "missing_request_key"
     BAD_OPTION = "bad_option"
     SUPERSEDED = "superseded"
@@ -48,6 +48,23 @@
     KEY_EXPIRED = "key_expired"
     NOT_STARTED = "granted_not_started"
     DEADLINE = "deadline_while_running"
+    CANCELLED = "cancelled_while_running"
+
+
+class ControlRefusal(enum.StrEnum):
+    """Why control refused a command of an operator."""
+
+    STALE_BASE = "stale_base"
+    INVALID_DOCUMENT = "invalid_document"
+    ADDRESS_IN_QUARANTINE = "address_in_quarantine"
+    REQUEST_ID_REUSED = "request_id_reused"
+    UNKNOWN_NODE = "unknown_node"
+    UNKNOWN_MEMBER = "unknown_member"
+    MEMBER_EXISTS = "member_exists"
+    MEMBER_NOT_CAUGHT_UP = "member_not_caught_up"
+    MEMBERS_CHANGING = "members_changing"
+    QUORUM_AT_RISK = "quorum_at_risk"
+    STORAGE_FAILED = "storage_failed"
 
 
 class Retry(enum.StrEnum):
@@ -58,10 +75,9 @@
     TARGET_REFUSED = "target_refused"
     IDEMPOTENT_FAILURE = "idempotent_failure"
     BUDGET_EXHAUSTED = "budget_exhausted"
-    LEADER_CHANGED = "leader_changed"
 
 
-Reason = Drop | Refusal | Unknown | Retry
+Reason = Drop | Refusal | Unknown | Retry | ControlRefusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
