--- a/src/egretfork/model.py
+++ b/src/egretfork/model.py
@@ -51,9 +51,6 @@
         queue: requests that may wait at one agent.
         cold_start_ms: time in which a new target reaches its full share.
         default_deadline_ms: deadline of a request that carries none.
-        load_report: whether targets report their load.
-        zone_affinity: 0 to ignore availability zones, up to 1 to prefer
-            near targets until they are full.
     """
 
     name: typing.Annotated[
@@ -73,8 +70,6 @@
     default_deadline_ms: typing.Annotated[
         int, msgspec.Meta(ge=1, le=3_600_000)
     ] = 30_000
-    load_report: bool = True
-    zone_affinity: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
 
 
 class RecordGroup(msgspec.Struct, frozen=True, array_like=True):
