Pull from the peer with the most waiting requests

Cause: with deadlines known only at the last hint, the peer with the earliest one had often started that request; a longer queue is more likely to be left and is where waits grow.

--- a/src/egretfork/agent/peers.py
+++ b/src/egretfork/agent/peers.py
@@ -140,14 +140,19 @@
         )
 
     def choose_source(self, now: datetime.timedelta) -> Peer | None:
-        """Return the peer whose first request has the earliest deadline."""
+        """Return the peer with the most waiting requests.
+
+        The earliest deadline decides between equal numbers.
+        """
         candidates = (
             peer
             for peer in self._peers.values()
             if peer.waiting > 0 and now - peer.hinted_at <= HINT_LIFETIME
         )
         return min(
-            candidates, key=lambda peer: peer.first_deadline, default=None
+            candidates,
+            key=lambda peer: (-peer.waiting, peer.first_deadline),
+            default=None,
         )
 
 
