Test refusals without a run, crashed agents and leaving agents

The check of refusals fails without the record of the refusal ('2.05 Content' for an attempt that was refused), the one of crashed agents fails when hints to removed agents are followed ('False is not true'). The one of leaving agents passes without the admission bar: a flow admitted there moves away at once, so that bar is not proved alone.

--- a/src/egretfork/agent/core.py
+++ b/src/egretfork/agent/core.py
@@ -78,6 +78,7 @@
         generator: source of randomness.
         wall_clock_zero_ms: Unix milliseconds at instant zero.
         idle_timeout: time after which an unused flow is forgotten.
+        max_flow_bytes: bound of the estimated size of all flow records.
     """
 
     def __init__(
@@ -87,9 +88,10 @@
         generator: random.Random,
         wall_clock_zero_ms: int,
         idle_timeout: datetime.timedelta = flows.IDLE_TIMEOUT,
+        max_flow_bytes: int = flows.MAX_TABLE_BYTES,
     ) -> None:
         self._status = status
-        self._table = flows.FlowTable(idle_timeout=idle_timeout)
+        self._table = flows.FlowTable(max_flow_bytes, idle_timeout)
         self._engine = engines.RequestEngine(
             status.service_name,
             status.identity,
--- a/src/egretfork/bench/flows.py
+++ b/src/egretfork/bench/flows.py
@@ -25,6 +25,7 @@
 
 SECOND = datetime.timedelta(seconds=1)
 HINT_DELAY = datetime.timedelta(milliseconds=100)
+MAX_FLOW_BYTES = 1024 * 1024 * 1024
 PARTS = ("evenness", "join", "speed")
 BASELINES = ("hash_modulo", "rendezvous", "random")
 
@@ -209,7 +210,13 @@
         address=model.Endpoint("10.254.0.1", 7100),
         service_name=cells.SERVICE,
     )
-    agent = core.AgentCore(status, cells.TARGET, random.Random(1), 0)
+    agent = core.AgentCore(
+        status,
+        cells.TARGET,
+        random.Random(1),
+        0,
+        max_flow_bytes=MAX_FLOW_BYTES,
+    )
     service = model.Service(
         name=cells.SERVICE,
         addresses=(str(cells.SERVICE_ADDRESS),),
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -143,6 +143,66 @@
         for exchange in again:
             self.assertEqual(exchange.answers[0].payload, exchange.payload)
 
+    def test_a_refused_attempt_never_runs(self) -> None:
+        # Guards against a refusal that is sent before it is recorded.
+        service = flows_support.build_configuration(connections=1)
+        world = build_world(agents=1, configuration=service)
+        world.add_caller().request()
+        world.run(1)
+        caller, key = world.add_caller(), world.make_key()
+        refused = caller.request(codes.POST, key)
+        world.run(1)
+        self.assertEqual(refused.answers[0].code, codes.SERVICE_UNAVAILABLE)
+        (declared,) = world.configuration.services
+        wider = msgspec.structs.replace(declared, connections=9)
+        world.configure(
+            msgspec.structs.replace(
+                world.configuration, version=2, services=(wider,)
+            )
+        )
+        again = caller.request(codes.POST, key)
+        world.run(1)
+        self.assertEqual(again.answers[0].code, codes.SERVICE_UNAVAILABLE)
+        self.assertEqual(sum(world.runs.values()), 0)
+
+    def test_a_crashed_agent_that_was_removed_is_not_asked(self) -> None:
+        # Guards against hints that outlive the agent that they name.
+        world = build_world(agents=6)
+        callers = [world.add_caller() for _ in range(40)]
+        for caller in callers:
+            caller.request()
+        world.run(1)
+        world.crash(world.nodes["t0"])
+        world.run(8)
+        exchanges = [caller.request() for caller in callers]
+        world.run(1)
+        self.assertTrue(all(exchange.answers for exchange in exchanges))
+
+    def test_a_leaving_agent_passes_new_flows_on(self) -> None:
+        # Guards against admission where an announcement is still on its way.
+        world = build_world()
+        node = world.nodes["t0"]
+        world.handle(node, events.StopRequested())
+        caller = world.add_caller()
+        exchange = caller.request()
+        forwarded = wire.Forwarded(
+            flows_support.SERVICE,
+            1,
+            caller.flow,
+            caller.bucket,
+            world.find_list(caller),
+            3,
+            4,
+            world.entries[0].endpoint,
+            exchange.data,
+            True,
+        )
+        peer = world.nodes["t1"].endpoint
+        world.handle(node, events.MessageReceived(peer, forwarded))
+        world.run(1)
+        self.assertEqual(world.count_flows()["t0"], 0)
+        self.assertEqual(sum(world.count_flows().values()), 1)
+
     def test_tables_stay_bounded_over_hundreds_of_changes(self) -> None:
         # Guards against records, lists or hints that grow with each change.
         world = build_world(agents=5)
