Measure what each role costs and state it against the bounds

Cause: no page stated the cost of a role at the design size.

capacity measures at three sizes or more, fits a line to each figure and fills docs/CAPACITY.md. Not measured at 450 nodes: loss of an availability zone, end of a cut.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,21 @@
 unit: env
 	$(BIN)/python -m tests
 
+PLOT_VENV := .venv-plot
+SAVED := docs/data/gossip-150.json docs/data/gossip-450.json
+
+# The two larger sizes of the gossip measurement take over 6 minutes; their
+# saved output is used. `egretfork-bench gossip --nodes N` makes it again.
+capacity: $(PLOT_VENV)/installed
+	$(PLOT_VENV)/bin/python -m egretfork.bench.program capacity \
+		$(addprefix --gossip ,$(wildcard $(SAVED)))
+	$(PLOT_VENV)/bin/python -m egretfork.bench.capacity_page
+
+$(PLOT_VENV)/installed: requirements.txt requirements-plot.txt pyproject.toml
+	$(PYTHON) -m venv $(PLOT_VENV)
+	$(PLOT_VENV)/bin/pip install --quiet -r requirements-plot.txt
+	$(PLOT_VENV)/bin/pip install --quiet --no-deps -e .
+	touch $@
+
 clean:
-	rm -rf $(VENV) build var .mypy_cache .hypothesis
+	rm -rf $(VENV) $(PLOT_VENV) build var .mypy_cache .hypothesis
--- a/src/egretfork/bench/program.py
+++ b/src/egretfork/bench/program.py
@@ -12,7 +12,7 @@
 
 import egretfork
 
-COMMANDS = ("control", "entry", "flows", "gossip", "requests")
+COMMANDS = ("capacity", "control", "entry", "flows", "gossip", "requests")
 
 
 class LazyGroup(click.Group):
