--- a/src/egretfork/standins/processes.py
+++ b/src/egretfork/standins/processes.py
@@ -1,8 +1,9 @@
 """Starts and ends processes of a demo or test run by their ids."""
 
-import contextlib
 import dataclasses
+import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -12,6 +13,7 @@
 
 PAGE_KIB = 4
 STOP_TIMEOUT_S = 8
+STATIC_PORTS = range(15_000, 32_000)
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,15 +129,24 @@
 
 
 def find_free_ports(count: int, kind: socket.SocketKind) -> list[int]:
-    """Return distinct ports that are free on loopback now."""
-    with contextlib.ExitStack() as stack:
-        held = [
-            stack.enter_context(socket.socket(socket.AF_INET, kind))
-            for _ in range(count)
-        ]
-        for item in held:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in held]
+    """Return distinct ports that are free on loopback now.
+
+    The ports are below the range from which the kernel takes the ports of
+    outgoing connections. Otherwise a connection of another process can
+    take the port of a process that is being restarted.
+    """
+    candidates = random.SystemRandom().sample(STATIC_PORTS, len(STATIC_PORTS))
+    free = (port for port in candidates if _is_free(port, kind))
+    return list(itertools.islice(free, count))
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_for(
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,5 +1,6 @@
 """Runs all tests; passes over exactly those listed in KNOWN-RED.txt."""
 
+import faulthandler
 import pathlib
 import sys
 import unittest
@@ -7,6 +8,8 @@
 import hypothesis
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# A run that hangs ends as a failure that shows where.
+WATCHDOG_S = 1800
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 # The same examples on every run, so that CI gives one verdict.
@@ -45,6 +48,7 @@
 
 def main() -> int:
     """Run the tests and print the closing line."""
+    faulthandler.dump_traceback_later(WATCHDOG_S, exit=True)
     known_red = read_known_red(KNOWN_RED)
     names = sys.argv[1:]
     loader = unittest.defaultTestLoader
--- a/tests/control/processes.py
+++ b/tests/control/processes.py
@@ -14,8 +14,12 @@
 import msgspec
 
 from egretfork.client import program
+from egretfork.client import session
 from egretfork.control import program as control
+from egretfork import model
+from egretfork import reasons
 from egretfork import settings
+from egretfork.standins import processes as standins
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 EXAMPLES = ROOT / "examples"
@@ -36,9 +40,7 @@
 
 def pick_port() -> int:
     """Return a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    return standins.find_free_ports(1, socket.SOCK_STREAM)[0]
 
 
 class Member:
@@ -83,6 +85,13 @@
                 self._build_command(), stdout=log, stderr=log
             )
 
+    def answers(self) -> bool:
+        """Tell whether the process answers; fail if it has ended."""
+        assert self._process is not None
+        assert self._process.poll() is None, self.read_log()
+        address = model.parse_endpoint(self.address)
+        return not isinstance(session.read_status(address), reasons.Failure)
+
     def stop(self, number: signal.Signals = signal.SIGKILL) -> int:
         """End the process with a signal and return its exit code."""
         if self._process is None:
@@ -112,6 +121,8 @@
         third.initialise_learner()
         for member in self.members:
             member.start()
+        for member in self.members:
+            poll(member.answers)
         for member in (second, third):
             result = self.run_client(
                 "members", "add", member.address, "--promote"
--- a/tests/control/test_processes.py
+++ b/tests/control/test_processes.py
@@ -14,6 +14,7 @@
 
 # Shorter than a change takes, so that the kill falls into it.
 KILL_DELAY_S = 0.004
+MAX_RESENDS = 20
 
 
 class ControlProcessTest(processes.ProcessTest):
@@ -51,9 +52,10 @@
                 self.kill_leader_soon()
             file = TIBAY if base % 2 else EMPTY
             resent = ("--base", str(base), "--request", f"r{base}")
-            applied = self.run_client("apply", file, *resent)
-            while applied.exit_code == 3:
+            for _ in range(MAX_RESENDS):
                 applied = self.run_client("apply", file, *resent)
+                if applied.exit_code != 3:
+                    break
             self.assertEqual(applied.exit_code, 0, applied.stdout)
             outcome = msgspec.json.decode(applied.stdout)
             self.assertEqual(outcome["version"], base + 1)
