--- a/src/egretfork/bench/capacity_gossip.py
+++ b/src/egretfork/bench/capacity_gossip.py
@@ -113,7 +113,7 @@
     return [
         capacity_lines.fit(
             f"gossip_{name}",
-            name.rpartition("_")[2],
+            find_unit(name),
             "nodes",
             "gossip.agent" if name.startswith("agent") else "gossip.core",
             points,
@@ -142,5 +142,12 @@
     return float(value)
 
 
+def find_unit(name: str) -> str:
+    """Return the unit at the end of a figure's name."""
+    if name.endswith("_bytes_per_s"):
+        return "bytes/s"
+    return name.rpartition("_")[2]
+
+
 if __name__ == "__main__":
     write(int(sys.argv[1]), pathlib.Path(sys.argv[2]))
