Name the nodes behind the newest version in egretforkctl status

Status named only nodes that hold an address in quarantine; an operator could not see which nodes lack the newest version.

--- a/src/egretfork/client/output.py
+++ b/src/egretfork/client/output.py
@@ -92,6 +92,11 @@
         f" committed {reply.commit_index} of {reply.last_index},"
         f" {reply.known_nodes} nodes known"
     ]
+    if reply.behind_count:
+        lines.append(
+            f"  {reply.behind_count} nodes have not confirmed version"
+            f" {reply.version} ({', '.join(reply.behind_nodes)})"
+        )
     lines.extend(
         f"  address {item.quarantined.address} released by"
         f" {item.quarantined.service} in version {item.quarantined.version}:"
--- a/src/egretfork/control/api.py
+++ b/src/egretfork/control/api.py
@@ -147,7 +147,12 @@
 
 
 class StatusRead(msgspec.Struct, frozen=True, tag="status_read"):
-    """State of one control process as it knows it."""
+    """State of one control process as it knows it.
+
+    Attributes:
+        behind_count: nodes that have not confirmed the newest version.
+        behind_nodes: the first of their names.
+    """
 
     number: int
     identity: str
@@ -166,6 +171,8 @@
     forgotten_nodes: tuple[str, ...]
     drained_agents: tuple[str, ...]
     quarantine: tuple[QuarantineStatus, ...]
+    behind_count: int = 0
+    behind_nodes: tuple[str, ...] = ()
 
 
 Reply = (
--- a/src/egretfork/control/nodes.py
+++ b/src/egretfork/control/nodes.py
@@ -33,14 +33,10 @@
         """Discard what is known of a node that was forgotten."""
         self._confirmed.pop(node, None)
 
-    def list_waiting(
-        self, known: set[str], item: commands.Quarantined
-    ) -> list[str]:
-        """Return the known nodes that have not confirmed a release."""
+    def list_behind(self, known: set[str], version: int) -> list[str]:
+        """Return the known nodes that have not confirmed a version."""
         return sorted(
-            node
-            for node in known
-            if self._confirmed.get(node, 0) < item.version
+            node for node in known if self._confirmed.get(node, 0) < version
         )
 
     def find_registrations(
@@ -67,6 +63,6 @@
             item
             for item, since in sorted(self._held_since.items())
             if now - since >= QUARANTINE_MIN
-            and not self.list_waiting(current.nodes, item)
+            and not self.list_behind(current.nodes, item.version)
         )
         return commands.ReleaseAddresses(released) if released else None
--- a/src/egretfork/control/reading.py
+++ b/src/egretfork/control/reading.py
@@ -27,6 +27,7 @@
     """Return the status as the reply to a query."""
     consensus = source.consensus
     current = source.state
+    behind = source.nodes.list_behind(current.nodes, current.version)
     return api.StatusRead(
         number=number,
         identity=consensus.identity,
@@ -48,6 +49,8 @@
             _read_quarantine(source, item)
             for item in sorted(current.quarantine.values())
         ),
+        behind_count=len(behind),
+        behind_nodes=tuple(behind[:SHOWN_WAITING_NODES]),
     )
 
 
@@ -61,7 +64,7 @@
 def _read_quarantine(
     source: Source, item: commands.Quarantined
 ) -> api.QuarantineStatus:
-    waiting = source.nodes.list_waiting(source.state.nodes, item)
+    waiting = source.nodes.list_behind(source.state.nodes, item.version)
     return api.QuarantineStatus(
         item, len(waiting), tuple(waiting[:SHOWN_WAITING_NODES])
     )
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -4,6 +4,8 @@
 import itertools
 import unittest
 
+from egretfork.client import output
+from egretfork.control import api
 from egretfork.control import commands
 from egretfork.control import groups
 from egretfork.control import nodes
@@ -220,3 +222,45 @@
         self.assertIsNone(self.decide((draining,), 10))
         changed = (draining, *READY[1:])
         self.assertEqual(self.decide(changed, 20), ["b", "c", "d"])
+
+
+class NodesBehindTest(unittest.TestCase):
+    def test_status_names_the_nodes_without_the_newest_version(self) -> None:
+        # Guards against an operator who takes a version to be in force
+        # everywhere while a node has not confirmed it.
+        keeper = nodes.NodeKeeper()
+        keeper.note_confirmations(
+            (
+                commands.NodeVersion("entry-1", 5),
+                commands.NodeVersion("entry-2", 4),
+            )
+        )
+        known = {"entry-1", "entry-2", "entry-3"}
+        behind = keeper.list_behind(known, 5)
+        self.assertEqual(behind, ["entry-2", "entry-3"])
+        status = api.StatusRead(
+            number=1,
+            identity="m1",
+            name="control-1",
+            status=api.MemberStatus.ACTIVE,
+            detail="",
+            role="leader",
+            term=1,
+            leader="m1",
+            version=5,
+            record_revision=0,
+            commit_index=9,
+            last_index=9,
+            members=(),
+            known_nodes=3,
+            forgotten_nodes=(),
+            drained_agents=(),
+            quarantine=(),
+            behind_count=len(behind),
+            behind_nodes=tuple(behind),
+        )
+        address = model.Endpoint("127.0.0.1", 7400)
+        self.assertIn(
+            "2 nodes have not confirmed version 5 (entry-2, entry-3)",
+            output.describe_status(address, status),
+        )
