--- a/src/egretfork/clock.py
+++ b/src/egretfork/clock.py
@@ -24,6 +24,15 @@
         return datetime.timedelta(microseconds=time.monotonic_ns() // 1000)
 
 
+class BootClock:
+    """Monotonic clock that also counts the time a VM was suspended."""
+
+    def now(self) -> datetime.timedelta:
+        """Return the time since the VM started."""
+        boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return datetime.timedelta(microseconds=boot_ns // 1000)
+
+
 class ManualClock:
     """Clock for tests and replay that moves only when told to."""
 
--- a/src/egretfork/control/api.py
+++ b/src/egretfork/control/api.py
@@ -12,6 +12,7 @@
 from egretfork.control import commands
 from egretfork.control import entries
 from egretfork import model
+from egretfork.passthrough import routing
 from egretfork import reasons
 
 
@@ -19,7 +20,7 @@
     """Carry out a command."""
 
     number: int
-    command: commands.OperatorCommand
+    command: commands.OperatorCommand | commands.Declare
 
 
 class Show(msgspec.Struct, frozen=True, array_like=True, tag="show"):
@@ -28,6 +29,14 @@
     number: int
 
 
+class ReadDeclaration(
+    msgspec.Struct, frozen=True, array_like=True, tag="declaration"
+):
+    """Read the declaration with the highest version."""
+
+    number: int
+
+
 class History(msgspec.Struct, frozen=True, array_like=True, tag="history"):
     """Read outcomes; of one request if ``request_id`` is not empty."""
 
@@ -65,7 +74,14 @@
 
 
 Query = (
-    Submit | Show | History | Status | AddMember | PromoteMember | RemoveMember
+    Submit
+    | Show
+    | ReadDeclaration
+    | History
+    | Status
+    | AddMember
+    | PromoteMember
+    | RemoveMember
 )
 
 
@@ -117,6 +133,13 @@
     author: str
 
 
+class DeclarationRead(msgspec.Struct, frozen=True, tag="declaration_read"):
+    """The declaration with the highest version."""
+
+    number: int
+    declaration: routing.Declaration
+
+
 class HistoryRead(msgspec.Struct, frozen=True, tag="history_read"):
     """Outcomes, newest first."""
 
@@ -182,6 +205,7 @@
     | QueryRefused
     | MembersChanged
     | Shown
+    | DeclarationRead
     | HistoryRead
     | StatusRead
 )
--- a/src/egretfork/control/commands.py
+++ b/src/egretfork/control/commands.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from egretfork import model
+from egretfork.passthrough import routing
 
 
 class Apply(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -81,9 +82,19 @@
     groups: tuple[model.RecordGroup, ...]
 
 
+class Declare(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Put a declaration in force if its version is the highest so far.
+
+    A version that is not higher changes nothing, so that a declaration may
+    be sent again at any time.
+    """
+
+    declaration: routing.Declaration
+
+
 OperatorCommand = Apply | Drain | ForgetNode
 LeaderCommand = RegisterNodes | ReleaseAddresses | SetRecordGroups
-Command = OperatorCommand | LeaderCommand
+Command = OperatorCommand | Declare | LeaderCommand
 
 
 class OutcomeKind(enum.StrEnum):
--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -11,10 +11,12 @@
 from egretfork.control import duties
 from egretfork.control import entries
 from egretfork.control import events
+from egretfork.control import joining
 from egretfork.control import raft
 from egretfork.control import reading
 from egretfork.control import state
 from egretfork import model
+from egretfork.passthrough import routing
 from egretfork import reasons
 
 COMPACT_AFTER_ENTRIES = 1000
@@ -24,6 +26,9 @@
 COMPACT_AFTER_BYTES = 2 * 1024 * 1024
 MAX_PENDING = 1024
 
+# Token of changes that no query waits for.
+MEMBER_CHANGE_TOKEN = 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueryReceived:
@@ -54,6 +59,13 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinRequested:
+    """A control process asks to be a member."""
+
+    member: entries.Member
+
+
 CoreEvent = (
     events.Tick
     | events.Received
@@ -61,6 +73,7 @@
     | QueryReceived
     | Announced
     | Confirmed
+    | JoinRequested
     | SaveFailed
 )
 
@@ -80,6 +93,13 @@
     configuration: model.Configuration
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishRouting:
+    """Disseminate the routing of a committed declaration."""
+
+    routing: routing.Routing
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DropNode:
     """Stop the dissemination to a node that is gone for good."""
@@ -87,7 +107,9 @@
     node: str
 
 
-CoreAction = events.Save | events.Send | Answer | Publish | DropNode
+CoreAction = (
+    events.Save | events.Send | Answer | Publish | PublishRouting | DropNode
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,8 +130,10 @@
         name: str,
         consensus: raft.Raft,
         compact_after_entries: int = COMPACT_AFTER_ENTRIES,
+        joins: joining.Joining | None = None,
     ) -> None:
         self._name = name
+        self._joins = joins
         self._raft = consensus
         self._compact_after_entries = compact_after_entries
         self._machine = state.StateMachine(consensus.log.snapshot.state)
@@ -125,6 +149,16 @@
         """Return the newest configuration known to be committed."""
         return self._machine.configuration
 
+    @property
+    def declaration(self) -> routing.Declaration:
+        """Return the newest declaration known to be committed."""
+        return self._machine.state.declaration
+
+    @property
+    def status(self) -> api.MemberStatus:
+        """Return whether the process takes part."""
+        return self._status
+
     @property
     def has_pending(self) -> bool:
         """Return whether queries wait for their result."""
@@ -152,6 +186,9 @@
                 self._on_query(event, now)
             case Announced():
                 self._duties.note_announcements(event.announcements)
+            case JoinRequested():
+                if self._joins is not None:
+                    self._joins.note_request(event.member, now)
             case Confirmed():
                 self._duties.nodes.note_confirmations(event.confirmations)
             case _:
@@ -168,6 +205,7 @@
         self._run(event, now)
         if isinstance(event, events.Tick):
             self._carry_out_duties(now)
+            self._change_members(now)
             self._compact(now)
 
     # Queries
@@ -222,6 +260,7 @@
             case events.InstallState():
                 self._machine = state.StateMachine(action.snapshot.state)
                 self._publish()
+                self._publish_routing()
             case events.Placed():
                 self._place(action)
             case events.Refused() | events.NotLeader() | events.ReadReady():
@@ -265,10 +304,13 @@
         self, added: tuple[entries.Entry, ...], now: datetime.timedelta
     ) -> None:
         before = self._machine.configuration
+        declared = self.declaration.version
         for entry in added:
             self._apply(entry, now)
         if self._machine.configuration != before:
             self._publish()
+        if self.declaration.version != declared:
+            self._publish_routing()
 
     def _apply(self, entry: entries.Entry, now: datetime.timedelta) -> None:
         outcome: commands.Outcome | None = None
@@ -319,8 +361,29 @@
     def _publish(self) -> None:
         self._actions.append(Publish(self._machine.configuration))
 
+    def _publish_routing(self) -> None:
+        self._actions.append(PublishRouting(self.declaration.routing))
+
     # Duties of the leader
 
+    def _change_members(self, now: datetime.timedelta) -> None:
+        leader = self._raft.leading
+        held = self._raft.log
+        if self._joins is None or leader is None:
+            return
+        if self._raft.commit < max(held.members_index, leader.first_index):
+            # One change at a time, and none before the term's first entry.
+            return
+        group = joining.Group(
+            held.members,
+            self._raft.commit,
+            self._raft.identity,
+            leader.peers,
+        )
+        change = self._joins.decide(group, MEMBER_CHANGE_TOKEN, now)
+        if change is not None:
+            self._run(change, now)
+
     def _carry_out_duties(self, now: datetime.timedelta) -> None:
         if self._raft.leading is None or not self._duties.is_due(now):
             return
@@ -348,6 +411,8 @@
                 self._machine.configuration,
                 self._machine.state.author,
             )
+        if isinstance(query, api.ReadDeclaration):
+            return api.DeclarationRead(query.number, self.declaration)
         request_id = query.request_id if isinstance(query, api.History) else ""
         if not request_id:
             return api.HistoryRead(query.number, self._machine.list_outcomes())
--- a/src/egretfork/control/files.py
+++ b/src/egretfork/control/files.py
@@ -29,6 +29,9 @@
     def rename(self, name: str, new_name: str) -> None:
         """Give a file another name, in place of the file that had it."""
 
+    def remove(self, name: str) -> None:
+        """Remove a file if there is one."""
+
     def sync(self, name: str) -> None:
         """Make the content of a file durable."""
 
@@ -67,6 +70,10 @@
         """Give a file another name, in place of the file that had it."""
         os.replace(self._folder / name, self._folder / new_name)
 
+    def remove(self, name: str) -> None:
+        """Remove a file if there is one."""
+        (self._folder / name).unlink(missing_ok=True)
+
     def sync(self, name: str) -> None:
         """Make the content of a file durable."""
         with self._open(name, os.O_RDWR) as file:
--- a/src/egretfork/control/program.py
+++ b/src/egretfork/control/program.py
@@ -28,6 +28,7 @@
 from egretfork import logs
 from egretfork import metrics
 from egretfork import model
+from egretfork.passthrough import routing
 from egretfork import reasons
 from egretfork import runtime
 from egretfork import settings
@@ -72,6 +73,9 @@
     def publish(self, configuration: model.Configuration) -> None:
         """Do nothing."""
 
+    def publish_routing(self, newest: routing.Routing) -> None:
+        """Do nothing."""
+
     def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
         """Return nothing: there are no nodes."""
         return ()
@@ -90,6 +94,9 @@
         """Spread a configuration that is committed."""
         self._service.publish(configuration)
 
+    def publish_routing(self, newest: routing.Routing) -> None:
+        """Do nothing: gossip spreads the services of the own interface."""
+
     def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
         """Return the version that each entry surely has in force."""
         return tuple(
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -53,7 +53,7 @@
             self._start_election(pre_vote=True)
 
     def _tick_leader(self, leader: leading.Leadership) -> None:
-        since = self._now - voting.ELECTION_TIMEOUT_MAX
+        since = self._now - self._timing.election_max
         if not leader.has_contact(self.log.members, since):
             self._become_follower("")
         elif self._now >= self._next_heartbeat:
@@ -114,7 +114,7 @@
     def _broadcast(self, *, with_seen: bool) -> None:
         if self.leading is None:
             return
-        self._next_heartbeat = self._now + voting.HEARTBEAT
+        self._next_heartbeat = self._now + self._timing.heartbeat
         seen = self._list_seen() if with_seen else ()
         for identity in self.leading.peers:
             self._send_append(self.leading, identity, seen)
@@ -280,7 +280,7 @@
                 reasons.ControlRefusal.MEMBER_NOT_CAUGHT_UP,
                 f"{event.identity} does not hold all committed entries",
             )
-        since = self._now - voting.ELECTION_TIMEOUT_MAX
+        since = self._now - self._timing.election_max
         if leader.has_contact(self._build_members(event), since):
             return None
         return events.Refused(
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -1,6 +1,7 @@
 """Sockets and files of a control process; makes no decisions."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 import logging
@@ -16,10 +17,12 @@
 from egretfork.control import core
 from egretfork.control import entries
 from egretfork.control import events
+from egretfork.control import records
 from egretfork.control import storage
 from egretfork import logs
 from egretfork import metrics
 from egretfork import model
+from egretfork.passthrough import routing
 from egretfork import reasons
 
 LOGGER = logging.getLogger(__name__)
@@ -28,6 +31,9 @@
 CLOSE_LINGER_MS = 200
 TICK = datetime.timedelta(milliseconds=50)
 CONFIRMATIONS_PERIOD_S = 1.0
+REOPEN_PERIOD_S = 1.0
+# Begins no identity that a ROUTER socket gives to its peers.
+LOCAL_CLIENT = b"local-"
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 SEND_QUEUE_MESSAGES = 256
 RECONNECT_MS = 100
@@ -36,6 +42,11 @@
 # Bounds the time for which a connection to a VM that vanished is kept.
 UNACKNOWLEDGED_MAX_MS = 4000
 
+# A connection that went silent without a reset is made anew.
+PING_PERIOD_MS = 400
+PING_TIMEOUT_MS = 1200
+CONNECT_TIMEOUT_MS = 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Route:
@@ -47,6 +58,8 @@
 
 _NO_ROUTE = _Route("", b"")
 
+Reopen = collections.abc.Callable[[], tuple[core.ControlCore, storage.Storage]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Report:
@@ -63,6 +76,9 @@
     def publish(self, configuration: model.Configuration) -> None:
         """Spread a configuration that is committed."""
 
+    def publish_routing(self, newest: routing.Routing) -> None:
+        """Spread the routing of a declaration that is committed."""
+
     def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
         """Return the version that each entry surely has in force."""
 
@@ -81,8 +97,12 @@
         dissemination: Dissemination,
         time: clock.Clock,
         registry: metrics.Metrics,
+        reopen: Reopen | None = None,
     ) -> None:
         super().__init__()
+        self._reopen = reopen
+        self._local: dict[bytes, asyncio.Future[api.Reply]] = {}
+        self._local_number = 0
         self._address = address
         self._core = decisions
         self._files = files
@@ -112,9 +132,32 @@
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self._router.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+        _watch_connections(self._router)
         self._router.bind(f"tcp://{self._address}")
         if self._core.configuration.version:
             self._dissemination.publish(self._core.configuration)
+        self._dissemination.publish_routing(self._core.declaration.routing)
+
+    @property
+    def decisions(self) -> core.ControlCore:
+        """Return the core, which a reopened disk replaces."""
+        return self._core
+
+    async def ask(self, query: api.Query) -> api.Reply:
+        """Put a query of this process to the core and return the reply."""
+        self._local_number += 1
+        client = LOCAL_CLIENT + str(self._local_number).encode()
+        future: asyncio.Future[api.Reply] = asyncio.Future()
+        self._local[client] = future
+        try:
+            self._handle(core.QueryReceived(client, query))
+            return await future
+        finally:
+            del self._local[client]
+
+    def note_join_request(self, member: entries.Member) -> None:
+        """Take the request of a process that asks to be a member."""
+        self._handle(core.JoinRequested(member))
 
     async def on_stop(self) -> None:
         """Finish what is in progress, hand over and close all sockets."""
@@ -142,6 +185,18 @@
             self._handle(events.Tick())
             await asyncio.sleep(TICK.total_seconds())
 
+    @mode.Service.timer(REOPEN_PERIOD_S)
+    async def _reopen_storage(self) -> None:
+        """Start again from the disk after a failed write."""
+        if self._reopen is None or not self._files.failure:
+            return
+        try:
+            self._core, self._files = self._reopen()
+        except (OSError, records.DamageError, storage.StorageError) as error:
+            self._report_storage(str(error))
+            return
+        logs.write(LOGGER, "storage_reopened", step="reopen")
+
     @mode.Service.timer(CONFIRMATIONS_PERIOD_S)
     async def _read_confirmations(self) -> None:
         confirmations = self._dissemination.list_confirmations()
@@ -243,6 +298,8 @@
                 self._send_peer(action)
             case core.Answer():
                 self._answer(action)
+            case core.PublishRouting():
+                self._dissemination.publish_routing(action.routing)
             case core.Publish():
                 self._dissemination.publish(action.configuration)
             case core.DropNode():
@@ -304,6 +361,8 @@
         peer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         peer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         peer.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+        peer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        _watch_connections(peer)
         peer.connect(f"tcp://{address}")
         self._peers[address] = peer
         self.add_future(self._receive_replies(peer))
@@ -314,7 +373,11 @@
             self._registry.count(action.reply.reason)
         elif isinstance(action.reply, api.Concluded):
             self._count_outcome(action.reply.outcome)
-        if self._router is not None:
+        waiting = self._local.get(action.client)
+        if waiting is not None:
+            if not waiting.done():
+                waiting.set_result(action.reply)
+        elif self._router is not None:
             frames = [action.client, api.encode(action.reply)]
             self._send(self._router, frames)
 
@@ -329,3 +392,8 @@
         )
         if sent.exception() is not None:
             self._registry.count(reasons.Drop.SEND_FAILED)
+
+
+def _watch_connections(watched: zmq.asyncio.Socket) -> None:
+    watched.setsockopt(zmq.HEARTBEAT_IVL, PING_PERIOD_MS)
+    watched.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -6,6 +6,7 @@
 from egretfork.control import commands
 from egretfork import document
 from egretfork import model
+from egretfork.passthrough import routing
 from egretfork import reasons
 
 ACTIONS: dict[type[commands.OperatorCommand], str] = {
@@ -13,6 +14,7 @@
     commands.Drain: "drain",
     commands.ForgetNode: "forget",
 }
+DECLARE_ACTION = "declare"
 KEPT_REQUESTS = 1024
 KEPT_FORGOTTEN = 4096
 MAX_DRAINED_AGENTS = 4096
@@ -34,6 +36,7 @@
         quarantine: released addresses by address.
         nodes: names of the entries that have to confirm versions.
         forgotten: newest version when an operator gave up on a node.
+        declaration: the declaration with the highest version.
     """
 
     version: int = 0
@@ -46,6 +49,7 @@
     quarantine: dict[str, commands.Quarantined] = {}
     nodes: set[str] = set()
     forgotten: dict[str, int] = {}
+    declaration: routing.Declaration = routing.Declaration()
 
 
 class StateMachine:
@@ -71,6 +75,8 @@
                 self._release(command)
             case commands.SetRecordGroups():
                 self._set_groups(command)
+            case commands.Declare():
+                outcome = self._declare(command)
             case _:
                 outcome = self._apply_once(command)
         self.configuration = self._build_configuration()
@@ -256,6 +262,18 @@
             detail=detail,
         )
 
+    def _declare(self, command: commands.Declare) -> commands.Outcome:
+        if command.declaration.version > self.state.declaration.version:
+            self.state.declaration = command.declaration
+        return commands.Outcome(
+            request_id="",
+            kind=commands.OutcomeKind.ACCEPTED,
+            version=self.state.declaration.version,
+            action=DECLARE_ACTION,
+            author="",
+            submitted_ms=0,
+        )
+
     # Commands of the leader
 
     def _register_nodes(self, command: commands.RegisterNodes) -> None:
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -14,6 +14,7 @@
 """
 
 import abc
+import dataclasses
 import datetime
 import enum
 import random
@@ -29,6 +30,24 @@
 ELECTION_TIMEOUT_MAX = datetime.timedelta(milliseconds=3000)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Periods of consensus; all members of a group use the same.
+
+    Attributes:
+        heartbeat: between messages of a leader that has nothing to say.
+        election_min: silence of a leader after which it may be replaced.
+        election_max: silence after which it surely is.
+    """
+
+    heartbeat: datetime.timedelta = HEARTBEAT
+    election_min: datetime.timedelta = ELECTION_TIMEOUT_MIN
+    election_max: datetime.timedelta = ELECTION_TIMEOUT_MAX
+
+
+DEFAULT_TIMING = Timing()
+
+
 class Role(enum.StrEnum):
     """Part that a member plays in the current term."""
 
@@ -49,7 +68,9 @@
         seen: tuple[entries.SeenSequence, ...],
         seed: random.Random,
         now: datetime.timedelta,
+        timing: Timing = DEFAULT_TIMING,
     ) -> None:
+        self._timing = timing
         self.identity = identity
         self.vote = vote
         self.log = held
@@ -67,7 +88,7 @@
         self._pre_vote = True
         self._random = seed
         self._now = now
-        self._heard_leader = now - ELECTION_TIMEOUT_MIN
+        self._heard_leader = now - timing.election_min
         self._next_heartbeat = now
         self._election_at = now
         self._actions: list[events.Action] = []
@@ -90,14 +111,15 @@
     def _greet_peers(self) -> None:
         if self._now < self._next_heartbeat:
             return
-        self._next_heartbeat = self._now + HEARTBEAT
+        self._next_heartbeat = self._now + self._timing.heartbeat
         for identity in self._list_others():
             self._send(identity, entries.Hello(self.sequence))
 
     def _delay_election(self) -> None:
-        span = (ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN).total_seconds()
+        timing = self._timing
+        span = (timing.election_max - timing.election_min).total_seconds()
         extra = datetime.timedelta(seconds=self._random.uniform(0, span))
-        self._election_at = self._now + ELECTION_TIMEOUT_MIN + extra
+        self._election_at = self._now + timing.election_min + extra
 
     # Write sequences
 
@@ -180,7 +202,7 @@
     ) -> None:
         # A member that hears a leader ignores candidates, so that a member
         # returning from isolation or removed cannot depose the leader.
-        heard = self._now - self._heard_leader < ELECTION_TIMEOUT_MIN
+        heard = self._now - self._heard_leader < self._timing.election_min
         if (self.leading or heard) and not message.transfer:
             return
         if message.term > self.term and not message.pre_vote:
--- /dev/null
+++ b/src/egretfork/passthrough/actions.py
@@ -0,0 +1,40 @@
+"""Actions that the cores of passed-through flows return to their shells."""
+
+import dataclasses
+
+from egretfork import actions
+from egretfork import model
+from egretfork.passthrough import messages
+from egretfork.passthrough import packets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a message to a process of the system by UDP."""
+
+    peer: model.Endpoint
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send a packet to the caller of a flow."""
+
+    flow: packets.FlowKey
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToTarget:
+    """Send a packet to the agent's own target."""
+
+    data: bytes
+
+
+Action = (
+    SendMessage
+    | SendToCaller
+    | SendToTarget
+    | actions.CountReason
+    | actions.LogEvent
+)
--- /dev/null
+++ b/src/egretfork/passthrough/entry.py
@@ -0,0 +1,467 @@
+"""Decisions of an entry for flows whose content it cannot read.
+
+An entry holds hints, never the truth: which agent has a flow is known to
+the agents. A packet with no hint starts a search; an agent that does not
+hold the flow hands the packet back.
+"""
+
+import collections
+import dataclasses
+import datetime
+
+from egretfork import actions as common
+from egretfork import model
+from egretfork.passthrough import actions
+from egretfork.passthrough import messages
+from egretfork.passthrough import packets
+from egretfork.passthrough import placement
+from egretfork.passthrough import routing
+from egretfork.passthrough import search
+from egretfork import reasons
+
+HINT_IDLE_LIMIT = datetime.timedelta(seconds=60)
+MAX_HINTS = 100_000
+MAX_SEARCHES = 4_096
+AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
+# Agents that are offered a new flow before its caller is refused.
+MAX_OFFERS = 6
+# Routes may lead to agents that have not announced themselves yet.
+READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
+
+
+@dataclasses.dataclass(slots=True)
+class Hint:
+    """Where an entry sends the packets of a flow.
+
+    Attributes:
+        agent: address of the agent.
+        opened: the agent said that its target holds the flow.
+        offered: agents that were offered the flow, in order.
+    """
+
+    service: str
+    agent: model.Endpoint
+    opened: bool
+    used_at: datetime.timedelta
+    offered: list[model.Endpoint] = dataclasses.field(default_factory=list)
+
+
+class EntryCore:
+    """Forwards callers' packets to agents."""
+
+    def __init__(
+        self,
+        availability_zone: str,
+        codec: packets.Codec,
+        now: datetime.timedelta,
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._codec = codec
+        self._routes: routing.RouteTable | None = None
+        self._routed_at = now
+        self._agents: dict[model.Endpoint, placement.AgentView] = {}
+        self._hints: collections.OrderedDict[packets.FlowKey, Hint] = (
+            collections.OrderedDict()
+        )
+        self._searches: dict[packets.FlowKey, search.Search] = {}
+        self._now = now
+        self._actions: list[actions.Action] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version of the routing in force, 0 for none."""
+        return self._routes.version if self._routes else 0
+
+    # Events
+
+    def handle_packet(
+        self, data: bytes, now: datetime.timedelta
+    ) -> list[actions.Action]:
+        """Process a packet of a caller."""
+        self._begin(now)
+        packet = self._codec.read_from_caller(data)
+        if isinstance(packet, reasons.Failure):
+            self._count(reasons.Drop.MALFORMED)
+        elif self._routes is None:
+            self._count(reasons.Drop.NO_CONFIGURATION)
+        else:
+            self._route(packet, self._routes)
+        return self._actions
+
+    def handle_message(
+        self,
+        message: messages.Message,
+        peer: model.Endpoint,
+        now: datetime.timedelta,
+    ) -> list[actions.Action]:
+        """Process a message of an agent."""
+        self._begin(now)
+        match message:
+            case messages.Announcement():
+                self._note_announcement(message, peer)
+            case messages.Opened():
+                self._note_opened(message.flow, peer)
+            case messages.Declined():
+                self._offer_again(message, peer)
+            case messages.NotHeld():
+                self._note_not_held(message, peer)
+            case messages.Found():
+                self._note_found(message, peer)
+        return self._actions
+
+    def handle_routing(
+        self, newest: routing.Routing, now: datetime.timedelta
+    ) -> list[actions.Action]:
+        """Put a newer routing in force; an older one changes nothing."""
+        self._begin(now)
+        if newest.version <= self.version:
+            return self._actions
+        if self._routes is None:
+            self._routed_at = now
+        before = self.version
+        self._routes = routing.RouteTable(newest)
+        detail = f"version={newest.version} before={before}"
+        self._actions.append(
+            common.LogEvent("routing_in_force", "route", detail=detail)
+        )
+        return self._actions
+
+    def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
+        """Conclude searches and expire what is no longer needed."""
+        self._begin(now)
+        for flow, found in list(self._searches.items()):
+            if found.is_over(now):
+                del self._searches[flow]
+            elif not found.concluded and found.is_complete(now):
+                self._conclude_search(flow, found)
+        self._expire_hints()
+        self._expire_agents()
+        return self._actions
+
+    def is_ready(self, now: datetime.timedelta) -> bool:
+        """Return whether callers' packets can be forwarded."""
+        if self._routes is None:
+            return False
+        known = {agent.announcement.service for agent in self._agents.values()}
+        complete = self._routes.list_services() <= known
+        return complete or now - self._routed_at >= READY_WAIT_MAX
+
+    # Packets
+
+    def _route(
+        self, packet: packets.Packet, routes: routing.RouteTable
+    ) -> None:
+        route = routes.find(packet.flow.service_address)
+        if route is None:
+            self._count(reasons.Drop.UNKNOWN_ADDRESS)
+            detail = f"reason=no_route version={routes.version}"
+            self._log("packet_dropped", packet.flow, detail)
+            return
+        hint = self._hints.get(packet.flow)
+        if packet.opens:
+            self._open(packet, route, hint)
+        elif hint is not None:
+            self._forward(packet, hint)
+        else:
+            self._search_for(packet, route)
+
+    def _forward(self, packet: packets.Packet, hint: Hint) -> None:
+        hint.used_at = self._now
+        self._hints.move_to_end(packet.flow)
+        self._send(hint.agent, messages.Deliver(hint.service, packet.data))
+
+    def _open(
+        self,
+        packet: packets.Packet,
+        route: routing.Route,
+        hint: Hint | None,
+    ) -> None:
+        if hint is not None and hint.opened:
+            self._forward(packet, hint)
+            return
+        if hint is None:
+            service = routing.choose_service(route, packet.flow)
+            self._offer(packet, service, [])
+            return
+        # A copy whose first packet had no effect goes to another agent.
+        self._offer(packet, hint.service, hint.offered, again=hint)
+
+    def _offer(
+        self,
+        packet: packets.Packet,
+        service: str,
+        offered: list[model.Endpoint],
+        again: Hint | None = None,
+    ) -> bool:
+        """Offer a flow to the best agent left; return whether there is one."""
+        chosen = self._choose(packet.flow, service, offered)
+        if chosen is None:
+            if again is not None:
+                self._forward(packet, again)
+                return True
+            self._count(reasons.Drop.NO_TARGETS)
+            self._log("flow_dropped", packet.flow, f"service={service}")
+            return False
+        chosen.placed += 1
+        hint = Hint(
+            service,
+            chosen.address,
+            False,
+            self._now,
+            [*offered, chosen.address],
+        )
+        self._keep_hint(packet.flow, hint)
+        self._log_offer(packet.flow, chosen, hint)
+        self._send(chosen.address, messages.Deliver(service, packet.data))
+        return True
+
+    def _choose(
+        self,
+        flow: packets.FlowKey,
+        service: str,
+        offered: list[model.Endpoint],
+    ) -> placement.AgentView | None:
+        agents = [
+            agent
+            for agent in self._agents.values()
+            if agent.announcement.service == service
+            and agent.address not in offered
+        ]
+        return placement.choose_agent(
+            agents,
+            self._availability_zone,
+            routing.hash_flow(flow),
+            self._now,
+        )
+
+    def _offer_again(
+        self, message: messages.Declined, peer: model.Endpoint
+    ) -> None:
+        """Offer a flow that an agent declined to another one."""
+        hint = self._hints.get(message.flow)
+        if hint is None or hint.opened or hint.agent != peer:
+            return
+        packet = self._codec.read_from_caller(message.data)
+        if isinstance(packet, reasons.Failure):
+            self._count(reasons.Drop.MALFORMED)
+            return
+        self._count(reasons.Retry.PEER_REFUSED)
+        del self._hints[message.flow]
+        room = len(hint.offered) < MAX_OFFERS
+        if room and self._offer(packet, hint.service, hint.offered):
+            return
+        if message.reason is messages.DeclineReason.TARGET_FULL:
+            self._refuse(packet)
+
+    def _refuse(self, packet: packets.Packet) -> None:
+        """Reject a flow that no target can take, before it has opened."""
+        self._count(reasons.Refusal.NO_CAPACITY)
+        self._log("flow_refused", packet.flow, "reason=no_capacity")
+        data = self._codec.build_reset(packet.flow, packet.acknowledged)
+        self._actions.append(actions.SendToCaller(packet.flow, data))
+
+    # Searches
+
+    def _search_for(
+        self, packet: packets.Packet, route: routing.Route
+    ) -> None:
+        known = self._searches.get(packet.flow)
+        if known is not None and not known.is_over(self._now):
+            if known.concluded or not known.add_packet(packet.data):
+                self._count(reasons.Drop.NO_TARGETS)
+            return
+        if len(self._searches) >= MAX_SEARCHES:
+            self._count(reasons.Drop.TABLE_FULL)
+            return
+        self._start_search(
+            packet, route, without=frozenset(), wide=known is not None
+        )
+
+    def _start_search(
+        self,
+        packet: packets.Packet,
+        route: routing.Route,
+        without: frozenset[model.Endpoint],
+        *,
+        wide: bool,
+    ) -> None:
+        services = {share.service for share in route.shares}
+        asked = {
+            agent.address
+            for agent in self._agents.values()
+            if (wide or agent.announcement.service in services)
+            and agent.address not in without
+        }
+        service = routing.choose_service(route, packet.flow)
+        started = search.Search(service, self._now, set(asked), wide)
+        started.add_packet(packet.data)
+        self._searches[packet.flow] = started
+        for address in sorted(asked):
+            announced = self._agents[address].announcement.service
+            self._send(address, messages.Find(packet.flow, announced))
+        self._log("search_started", packet.flow, f"asked={len(asked)}")
+
+    def _note_found(
+        self, message: messages.Found, peer: model.Endpoint
+    ) -> None:
+        found = self._searches.get(message.flow)
+        if found is None:
+            return
+        if message.holding is messages.Holding.YES:
+            self._settle(message.flow, found, peer)
+            return
+        found.note_reply(peer, message.holding)
+        if not found.concluded and found.is_complete(self._now):
+            self._conclude_search(message.flow, found)
+
+    def _settle(
+        self,
+        flow: packets.FlowKey,
+        found: search.Search,
+        holder: model.Endpoint,
+    ) -> None:
+        del self._searches[flow]
+        view = self._agents.get(holder)
+        service = view.announcement.service if view else found.service
+        self._keep_hint(flow, Hint(service, holder, True, self._now))
+        self._log("search_settled", flow, f"agent={holder}")
+        for data in found.take_waiting():
+            self._send(holder, messages.Deliver(service, data))
+
+    def _conclude_search(
+        self, flow: packets.FlowKey, found: search.Search
+    ) -> None:
+        found.concluded = True
+        detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
+        self._log("search_failed", flow, detail)
+        waiting = list(found.take_waiting())
+        for agent in found.unsure:
+            view = self._agents.get(agent)
+            service = view.announcement.service if view else found.service
+            for data in waiting:
+                self._send(agent, messages.Deliver(service, data))
+        if not found.unsure:
+            self._count(reasons.Drop.NO_TARGETS)
+
+    def _note_opened(
+        self, flow: packets.FlowKey, agent: model.Endpoint
+    ) -> None:
+        found = self._searches.get(flow)
+        if found is not None:
+            self._settle(flow, found, agent)
+            return
+        hint = self._hints.get(flow)
+        if hint is not None and not hint.opened:
+            hint.agent = agent
+            hint.opened = True
+
+    def _note_not_held(
+        self, message: messages.NotHeld, peer: model.Endpoint
+    ) -> None:
+        """Search elsewhere for a flow that a hinted agent does not hold."""
+        hint = self._hints.get(message.flow)
+        if hint is None or hint.agent != peer or self._routes is None:
+            return
+        del self._hints[message.flow]
+        packet = self._codec.read_from_caller(message.data)
+        if isinstance(packet, reasons.Failure):
+            self._count(reasons.Drop.MALFORMED)
+            return
+        route = self._routes.find(message.flow.service_address)
+        if route is not None and message.flow not in self._searches:
+            self._start_search(packet, route, frozenset({peer}), wide=True)
+
+    # Agents and hints
+
+    def _note_announcement(
+        self, message: messages.Announcement, peer: model.Endpoint
+    ) -> None:
+        known = self._agents.get(peer)
+        if known is None:
+            view = placement.AgentView(peer, message, self._now)
+            self._agents[peer] = view
+            self._log_agent(peer, message)
+            return
+        before = known.announcement
+        order = (message.incarnation, message.sequence)
+        restarted = message.agent != before.agent
+        if restarted or order > (before.incarnation, before.sequence):
+            known.note(message, self._now)
+            if (before.state, before.service) != (
+                message.state,
+                message.service,
+            ):
+                self._log_agent(peer, message)
+
+    def _keep_hint(self, flow: packets.FlowKey, hint: Hint) -> None:
+        self._hints[flow] = hint
+        self._hints.move_to_end(flow)
+        if len(self._hints) > MAX_HINTS:
+            self._hints.popitem(last=False)
+
+    def _expire_hints(self) -> None:
+        while self._hints:
+            flow, hint = next(iter(self._hints.items()))
+            if self._now - hint.used_at < HINT_IDLE_LIMIT:
+                return
+            del self._hints[flow]
+
+    def _expire_agents(self) -> None:
+        silent = [
+            address
+            for address, agent in self._agents.items()
+            if self._now - agent.heard_at >= AGENT_SILENCE_LIMIT
+        ]
+        for address in silent:
+            del self._agents[address]
+            self._actions.append(
+                common.LogEvent("agent_silent", "follow agents", str(address))
+            )
+
+    # Output
+
+    def _begin(self, now: datetime.timedelta) -> None:
+        self._now = now
+        self._actions = []
+
+    def _send(self, peer: model.Endpoint, message: messages.Message) -> None:
+        self._actions.append(actions.SendMessage(peer, message))
+
+    def _count(self, reason: reasons.Reason) -> None:
+        self._actions.append(common.CountReason(reason))
+
+    def _log(self, event: str, flow: packets.FlowKey, detail: str) -> None:
+        self._actions.append(
+            common.LogEvent(event, "forward", str(flow), detail)
+        )
+
+    def _log_offer(
+        self,
+        flow: packets.FlowKey,
+        chosen: placement.AgentView,
+        hint: Hint,
+    ) -> None:
+        announcement = chosen.announcement
+        age = self._now - chosen.heard_at
+        self._log(
+            "flow_offered",
+            flow,
+            f"agent={announcement.agent} service={hint.service}"
+            f" offer={len(hint.offered)} version={self.version}"
+            f" flows={announcement.flows}+{chosen.placed}"
+            f" running={announcement.running}"
+            f" age_ms={age // datetime.timedelta(milliseconds=1)}",
+        )
+
+    def _log_agent(
+        self, address: model.Endpoint, message: messages.Announcement
+    ) -> None:
+        detail = (
+            f"agent={message.agent} service={message.service}"
+            f" state={message.state} stopping={message.stopping}"
+        )
+        self._actions.append(
+            common.LogEvent(
+                "agent_state", "follow agents", str(address), detail
+            )
+        )
--- /dev/null
+++ b/src/egretfork/passthrough/messages.py
@@ -0,0 +1,218 @@
+"""Messages between entries, agents and control about passed-through flows.
+
+They travel as MessagePack arrays in UDP datagrams. Fields are added only at
+the end and with a default.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from egretfork import model
+from egretfork.passthrough import packets
+from egretfork import reasons
+
+
+class Role(enum.StrEnum):
+    """Kind of process."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+    CONTROL = "control"
+
+
+class Deliver(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Entry to agent: a caller's packet for the agent's target.
+
+    Attributes:
+        service: service that the flow belongs to.
+        data: the packet.
+    """
+
+    service: str
+    data: bytes
+
+
+class Opened(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Agent to entry: the agent's target holds the flow."""
+
+    flow: packets.FlowKey
+
+
+class DeclineReason(enum.StrEnum):
+    """Why an agent opened no flow."""
+
+    UNKNOWN_TARGET = "unknown_target"
+    WRONG_SERVICE = "wrong_service"
+    LEAVING = "leaving"
+    TARGET_FULL = "target_full"
+
+
+class Declined(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Agent to entry: the first packet of a flow was not taken."""
+
+    flow: packets.FlowKey
+    reason: DeclineReason
+    data: bytes
+
+
+class NotHeld(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Agent to entry: a packet of a flow that the target does not hold."""
+
+    flow: packets.FlowKey
+    data: bytes
+
+
+class Find(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Entry to agents: asks whose target holds a flow."""
+
+    flow: packets.FlowKey
+    service: str
+
+
+class Holding(enum.StrEnum):
+    """Whether an agent's target holds a flow."""
+
+    YES = "yes"
+    NO = "no"
+    UNSURE = "unsure"
+
+
+class Found(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Agent to entry: answer to ``Find``."""
+
+    flow: packets.FlowKey
+    holding: Holding
+
+
+class TargetState(enum.StrEnum):
+    """What may be sent to an agent's target."""
+
+    UNKNOWN = "unknown"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Announcement(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Agent to entries: state and load of its target.
+
+    Attributes:
+        incarnation: start of the agent in ms since the Unix epoch.
+        sequence: raised with every announcement of an incarnation.
+        slots: requests that the target runs at a time.
+        flows: open flows.
+        running: requests that wait for the first byte of their answer.
+        warmup_ms: how much longer the target is slow after its start.
+        stopping: the agent's process is about to end.
+    """
+
+    agent: str
+    availability_zone: str
+    incarnation: int
+    sequence: int
+    service: str
+    state: TargetState
+    slots: int = 1
+    flows: int = 0
+    running: int = 0
+    warmup_ms: int = 0
+    stopping: bool = False
+
+
+class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Node to control: the node is alive.
+
+    Attributes:
+        directory: checksum of the directory that the node holds.
+    """
+
+    role: Role
+    name: str
+    directory: int
+
+
+class Directory(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Control to node: newest version, and addresses if they changed.
+
+    Attributes:
+        version: newest version that control knows to be committed.
+        checksum: of the addresses that follow.
+        controls: processes of control; empty if the node holds them.
+        entries: entries heard lately; empty if the node holds them.
+    """
+
+    version: int
+    checksum: int
+    controls: tuple[model.Endpoint, ...] = ()
+    entries: tuple[model.Endpoint, ...] = ()
+
+
+class PieceRequest(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Entry to control: asks for a part of the newest routing."""
+
+    version: int
+    offset: int
+
+
+class Piece(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Control to entry: a part of a compressed routing.
+
+    Attributes:
+        size: bytes of the whole.
+    """
+
+    version: int
+    size: int
+    offset: int
+    data: bytes
+
+
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Control to control: asks the leader to be a member.
+
+    Attributes:
+        identity: identity of the data folder.
+        name: name from the settings.
+        address: TCP address for members.
+    """
+
+    identity: str
+    name: str
+    address: model.Endpoint
+
+
+Message = (
+    Deliver
+    | Opened
+    | Declined
+    | NotHeld
+    | Find
+    | Found
+    | Announcement
+    | Greeting
+    | Directory
+    | PieceRequest
+    | Piece
+    | JoinRequest
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
+    Message
+)
+
+
+def encode(message: Message) -> bytes:
+    """Encode one datagram."""
+    return _ENCODER.encode(message)
+
+
+def decode(data: bytes, peer: str) -> Message | reasons.Failure:
+    """Decode one datagram."""
+    try:
+        return typing.cast(Message, _DECODER.decode(data))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return reasons.Failure(
+            "decode message", peer, reasons.Drop.MALFORMED, str(error)
+        )
--- /dev/null
+++ b/src/egretfork/passthrough/placement.py
@@ -0,0 +1,91 @@
+"""Choice of the agent whose target takes a new flow.
+
+Answers bursts of new flows and uneven targets: a flow goes to the target
+with the least work for its slots. An entry counts what it placed itself
+since an agent's newest announcement, so that a burst does not go to the
+target that was the least loaded when it began.
+"""
+
+import dataclasses
+import datetime
+
+import xxhash
+
+from egretfork import model
+from egretfork.passthrough import messages
+
+# Five missed announcements.
+SILENCE_MAX = datetime.timedelta(milliseconds=1000)
+# A request that waits counts as this many open flows.
+RUNNING_WEIGHT = 2.0
+# A target that has just started takes this much longer for a request.
+COLD_FACTOR = 2.0
+# Load per slot that a flow to another availability zone has to save.
+ZONE_COST = 0.75
+
+
+@dataclasses.dataclass(slots=True)
+class AgentView:
+    """What an entry knows of one agent.
+
+    Attributes:
+        placed: flows placed since the newest announcement.
+    """
+
+    address: model.Endpoint
+    announcement: messages.Announcement
+    heard_at: datetime.timedelta
+    placed: int = 0
+
+    def note(
+        self, announcement: messages.Announcement, now: datetime.timedelta
+    ) -> None:
+        """Take a newer announcement."""
+        self.announcement = announcement
+        self.heard_at = now
+        self.placed = 0
+
+
+def choose_agent(
+    agents: list[AgentView],
+    availability_zone: str,
+    flow_hash: int,
+    now: datetime.timedelta,
+) -> AgentView | None:
+    """Return the agent that is to take a new flow, none if none may.
+
+    Args:
+        agents: agents of the flow's service that have not declined it.
+        availability_zone: where the entry is.
+        flow_hash: decides between equals, the same on every entry.
+    """
+    able = [agent for agent in agents if is_able(agent)]
+    heard = [agent for agent in able if now - agent.heard_at < SILENCE_MAX]
+    return min(
+        heard or able,
+        key=lambda agent: (
+            rate_load(agent, availability_zone),
+            xxhash.xxh3_64_intdigest(
+                agent.announcement.agent.encode(), flow_hash
+            ),
+        ),
+        default=None,
+    )
+
+
+def is_able(agent: AgentView) -> bool:
+    """Return whether an agent announced that its target takes flows."""
+    announcement = agent.announcement
+    ready = announcement.state is messages.TargetState.READY
+    return ready and not announcement.stopping
+
+
+def rate_load(agent: AgentView, availability_zone: str) -> float:
+    """Return the work of a target for each of its slots."""
+    announcement = agent.announcement
+    work = float(announcement.flows + agent.placed)
+    work += RUNNING_WEIGHT * announcement.running
+    if announcement.warmup_ms:
+        work = (work + 1) * COLD_FACTOR
+    near = announcement.availability_zone == availability_zone
+    return work / max(announcement.slots, 1) + (0 if near else ZONE_COST)
--- /dev/null
+++ b/src/egretfork/passthrough/search.py
@@ -0,0 +1,72 @@
+"""Search for the agent whose target holds a flow that an entry has no
+hint for.
+
+Answers a change of the set of entries, after which most flows arrive at
+an entry that has not seen them. All agents of the flow's services are
+asked at once; packets wait meanwhile. An agent that restarted may not know
+yet what its target holds; where no agent is sure, these try their targets.
+"""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from egretfork import model
+from egretfork.passthrough import messages
+
+REPLY_LIMIT = datetime.timedelta(milliseconds=60)
+# How long the result that nobody holds a flow stands.
+RESULT_LIMIT = datetime.timedelta(milliseconds=150)
+MAX_WAITING = 32
+
+
+@dataclasses.dataclass(slots=True)
+class Search:
+    """One search in progress or just concluded.
+
+    Attributes:
+        unanswered: agents that have not replied.
+        unsure: agents whose targets may hold the flow.
+        waiting: packets that arrived meanwhile.
+        wide: all agents were asked, whatever their service.
+        concluded: nobody is known to hold the flow.
+    """
+
+    service: str
+    started_at: datetime.timedelta
+    unanswered: set[model.Endpoint]
+    wide: bool
+    unsure: list[model.Endpoint] = dataclasses.field(default_factory=list)
+    waiting: list[bytes] = dataclasses.field(default_factory=list)
+    concluded: bool = False
+
+    def add_packet(self, data: bytes) -> bool:
+        """Let a packet wait; return whether there was room."""
+        if len(self.waiting) >= MAX_WAITING:
+            return False
+        self.waiting.append(data)
+        return True
+
+    def note_reply(
+        self, agent: model.Endpoint, holding: messages.Holding
+    ) -> None:
+        """Take an agent's answer that is not a yes."""
+        if agent not in self.unanswered:
+            return
+        self.unanswered.discard(agent)
+        if holding is messages.Holding.UNSURE:
+            self.unsure.append(agent)
+
+    def is_complete(self, now: datetime.timedelta) -> bool:
+        """Return whether no further reply is waited for."""
+        late = now - self.started_at >= REPLY_LIMIT
+        return not self.unanswered or late
+
+    def is_over(self, now: datetime.timedelta) -> bool:
+        """Return whether a further packet begins another search."""
+        return self.concluded and now - self.started_at >= RESULT_LIMIT
+
+    def take_waiting(self) -> collections.abc.Iterator[bytes]:
+        """Return the packets that waited, and hold none any longer."""
+        taken, self.waiting = self.waiting, []
+        return iter(taken)
--- a/src/egretfork/runtime.py
+++ b/src/egretfork/runtime.py
@@ -1,14 +1,35 @@
 """Start of a daemon: logs, metrics, supervisor tree and exit code."""
 
+import typing
+
 import mode
 
 from egretfork import logs
 from egretfork import metrics
-from egretfork import settings
 
 EXIT_USAGE = 2
 
 
+class Common(typing.Protocol):
+    """Settings that the start of any daemon needs."""
+
+    @property
+    def name(self) -> str:
+        """Return the name of the process."""
+
+    @property
+    def host(self) -> str:
+        """Return the IPv4 address of the process."""
+
+    @property
+    def metrics_port(self) -> int:
+        """Return the TCP port of the metrics page, 0 for none."""
+
+    @property
+    def log_level(self) -> str:
+        """Return the lowest level that is written."""
+
+
 class Daemon(mode.Service):
     """Root of the supervisor tree of one daemon.
 
@@ -18,7 +39,7 @@
 
     def __init__(
         self,
-        common: settings.Settings,
+        common: Common,
         registry: metrics.Metrics,
         services: tuple[mode.Service, ...],
     ) -> None:
@@ -41,7 +62,7 @@
 
 def run(
     program: str,
-    common: settings.Settings,
+    common: Common,
     registry: metrics.Metrics,
     services: tuple[mode.Service, ...],
 ) -> None:
@@ -51,8 +72,17 @@
         SystemExit: always; 0 after a clean stop, 1 after a crash.
     """
     logs.configure(program, common.name, common.log_level)
+    supervise(Daemon(common, registry, services))
+
+
+def supervise(root: mode.Service) -> None:
+    """Run a supervisor tree until a signal arrives, then exit the process.
+
+    Raises:
+        SystemExit: always; 0 after a clean stop, 1 after a crash.
+    """
     worker = mode.Worker(
-        Daemon(common, registry, services),
+        root,
         redirect_stdouts=False,
         override_logging=False,
     )
--- /dev/null
+++ b/src/egretfork/webserver.py
@@ -0,0 +1,196 @@
+"""Small HTTP/1.1 server with limits on size, time and connections."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import logging
+
+import h11
+import mode
+
+from egretfork import logs
+from egretfork import model
+
+LOGGER = logging.getLogger(__name__)
+
+MAX_HEADER_BYTES = 16 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+READ_BYTES = 64 * 1024
+# Time for a whole request, and for which a connection may stay unused.
+READ_LIMIT_S = 10.0
+MAX_CONNECTIONS = 256
+BACKLOG = 128
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request with its whole body."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """Status, body and an address for the client to go to instead."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    location: str = ""
+
+
+Handler = collections.abc.Callable[
+    [Request], collections.abc.Awaitable[Response]
+]
+
+
+class WebService(mode.Service):
+    """Serves one handler on one TCP address."""
+
+    def __init__(self, address: model.Endpoint, handler: Handler) -> None:
+        super().__init__()
+        self._address = address
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._connections = 0
+
+    async def on_start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        self._server = await asyncio.start_server(
+            self._serve,
+            self._address.host,
+            self._address.port,
+            backlog=BACKLOG,
+            limit=READ_BYTES,
+        )
+
+    async def on_stop(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            writer.transport.abort()
+            return
+        self._connections += 1
+        try:
+            await _Connection(reader, writer, self._handler).run()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            _log("connection_failed", str(error) or type(error).__name__)
+        finally:
+            self._connections -= 1
+            writer.close()
+
+
+class _Connection:
+    """One connection and the requests on it."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    async def run(self) -> None:
+        """Answer requests until either side closes the connection."""
+        while True:
+            async with asyncio.timeout(READ_LIMIT_S):
+                request = await self._read_request()
+            if request is None:
+                return
+            if isinstance(request, Request):
+                response = await self._handle(request)
+            else:
+                response = request
+            await self._write(response)
+            if self._protocol.our_state is not h11.DONE:
+                return
+            if self._protocol.their_state is not h11.DONE:
+                return
+            self._protocol.start_next_cycle()
+
+    async def _handle(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except Exception:
+            LOGGER.exception("handler_failed", extra={"step": request.path})
+            return Response(500)
+
+    async def _read_request(self) -> Request | Response | None:
+        """Read a request; return a response if it cannot be read."""
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                _log("request_unreadable", str(error))
+                return Response(error.error_status_hint)
+            if event is h11.NEED_DATA:
+                if self._protocol.they_are_waiting_for_100_continue:
+                    await self._continue()
+                self._protocol.receive_data(
+                    await self._reader.read(READ_BYTES)
+                )
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    return Response(413)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _build_request(head, bytes(body))
+            else:
+                return None
+
+    async def _continue(self) -> None:
+        answer = h11.InformationalResponse(status_code=100, headers=[])
+        self._writer.write(self._protocol.send(answer) or b"")
+        await self._writer.drain()
+
+    async def _write(self, response: Response) -> None:
+        headers = [
+            ("content-length", str(len(response.body))),
+            ("content-type", response.content_type),
+        ]
+        if response.location:
+            headers.append(("location", response.location))
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        parts = (
+            h11.Response(status_code=response.status, headers=headers),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+        data = b"".join(self._protocol.send(part) or b"" for part in parts)
+        self._writer.write(data)
+        async with asyncio.timeout(READ_LIMIT_S):
+            await self._writer.drain()
+
+
+def _build_request(head: h11.Request, body: bytes) -> Request:
+    target = head.target.decode("ascii", "replace")
+    path, _, _ = target.partition("?")
+    return Request(head.method.decode("ascii", "replace"), path, body)
+
+
+def _log(event: str, detail: str) -> None:
+    logs.write(
+        LOGGER, event, step="serve http", detail=detail, level=logging.DEBUG
+    )
