--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,10 @@
 test: format lint types unit
 
 format: env
-	$(BIN)/black --check --quiet src tests
+	$(BIN)/black --check --quiet src platform tests
 
 lint: env
-	$(BIN)/flake8 src tests
+	$(BIN)/flake8 src platform tests
 
 types: env
 	$(BIN)/mypy
--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -263,8 +263,13 @@
         )
 
     def _declare(self, command: commands.Declare) -> commands.Outcome:
-        if command.declaration.version > self.state.declaration.version:
-            self.state.declaration = command.declaration
+        before = self.state.declaration
+        newest = command.declaration
+        if newest.version > before.version:
+            self.state.declaration = routing.Declaration(
+                routing.remember_services(before.routing, newest.routing),
+                newest.document,
+            )
         return commands.Outcome(
             request_id="",
             kind=commands.OutcomeKind.ACCEPTED,
--- a/src/egretfork/metrics.py
+++ b/src/egretfork/metrics.py
@@ -1,7 +1,11 @@
-"""Metrics of a process: a counter for each reason, and gauges."""
+"""Metrics of a process: counters of reasons, gauges and latencies."""
 
+import bisect
 import collections.abc
+import datetime
+import enum
 import functools
+import itertools
 import typing
 
 from egretfork import reasons
@@ -18,6 +22,31 @@
 }
 
 
+class Latency(enum.StrEnum):
+    """What is timed."""
+
+    FLOW_OPENING = "flow_opening"
+    FIRST_ANSWER = "first_answer"
+
+
+LATENCY_BOUNDS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+)
+DESCRIPTIONS: dict[Latency, str] = {
+    Latency.FLOW_OPENING: "Time from the offer of a flow to its opening.",
+    Latency.FIRST_ANSWER: "Time from a request to the start of its answer.",
+}
+
+
 class Metrics:
     """Metrics of one process.
 
@@ -28,6 +57,10 @@
     def __init__(self) -> None:
         self._counts = {reason: 0 for kind in CATEGORIES for reason in kind}
         self._gauges: dict[str, tuple[str, float]] = {}
+        self._times = {
+            kind: [0] * (len(LATENCY_BOUNDS_S) + 1) for kind in Latency
+        }
+        self._time_sums_s = dict.fromkeys(Latency, 0.0)
 
     @functools.cached_property
     def registry(self) -> "prometheus_client.CollectorRegistry":
@@ -50,6 +83,19 @@
         """Set ``egretfork_<name>`` to a value."""
         self._gauges[name] = (description, value)
 
+    def observe(self, kind: Latency, duration: datetime.timedelta) -> None:
+        """Count one duration."""
+        seconds = duration.total_seconds()
+        slot = bisect.bisect_left(LATENCY_BOUNDS_S, seconds)
+        self._times[kind][slot] += 1
+        self._time_sums_s[kind] += seconds
+
+    def render(self) -> bytes:
+        """Return the metrics page as text."""
+        import prometheus_client
+
+        return prometheus_client.generate_latest(self.registry)
+
     def serve(self, host: str, port: int) -> int:
         """Serve the metrics page by HTTP and return the TCP port.
 
@@ -81,3 +127,20 @@
             yield core.GaugeMetricFamily(
                 f"egretfork_{name}", description, value
             )
+        for kind, counts in self._times.items():
+            yield core.HistogramMetricFamily(
+                f"egretfork_{kind}_seconds",
+                DESCRIPTIONS[kind],
+                buckets=_accumulate(counts),
+                sum_value=self._time_sums_s[kind],
+            )
+
+
+def _accumulate(counts: list[int]) -> list[tuple[str, float]]:
+    """Return cumulative counts by upper bound."""
+    bounds = [str(bound) for bound in LATENCY_BOUNDS_S] + ["+Inf"]
+    sums = itertools.accumulate(counts)
+    return [
+        (bound, float(total))
+        for bound, total in zip(bounds, sums, strict=True)
+    ]
--- a/src/egretfork/passthrough/actions.py
+++ b/src/egretfork/passthrough/actions.py
@@ -1,8 +1,10 @@
 """Actions that the cores of passed-through flows return to their shells."""
 
 import dataclasses
+import datetime
 
 from egretfork import actions
+from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
@@ -31,10 +33,19 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObserveLatency:
+    """Count one duration."""
+
+    kind: metrics.Latency
+    duration: datetime.timedelta
+
+
 Action = (
     SendMessage
     | SendToCaller
     | SendToTarget
+    | ObserveLatency
     | actions.CountReason
     | actions.LogEvent
 )
--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -11,6 +11,7 @@
 import datetime
 
 from egretfork import actions as common
+from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
 from egretfork.passthrough import flowtable
@@ -220,8 +221,8 @@
     def _note_from_caller(
         self, packet: packets.Packet, held: flowtable.HeldFlow
     ) -> None:
-        if packet.payload_bytes:
-            self.flows.set_running(held, running=True)
+        if packet.payload_bytes and held.running_since is None:
+            self.flows.set_running(held, self._now)
         if packet.finishes:
             held.caller_finished = True
         if packet.resets:
@@ -320,8 +321,14 @@
             return
         if held.stage in (flowtable.Stage.TRIED, flowtable.Stage.OPENING):
             self._confirm(packet, held)
-        if packet.payload_bytes:
-            self.flows.set_running(held, running=False)
+        if packet.payload_bytes and held.running_since is not None:
+            self._actions.append(
+                actions.ObserveLatency(
+                    metrics.Latency.FIRST_ANSWER,
+                    self._now - held.running_since,
+                )
+            )
+            self.flows.set_running(held, None)
         if packet.finishes:
             held.target_finished = True
         self._close_if_finished(held)
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -71,7 +71,7 @@
         self._seeds = seeds
         self._controls = dict.fromkeys(seeds, now)
         self._entries: dict[model.Endpoint, datetime.timedelta] = {}
-        self._checksums: dict[model.Endpoint, int] = {}
+        self._listings: dict[model.Endpoint, messages.Directory] = {}
         self._greet_at = now
         self._pull: Pull | None = None
         self._now = now
@@ -126,7 +126,8 @@
 
     def _greet(self) -> None:
         for control in self._controls:
-            checksum = self._checksums.get(control, 0)
+            listing = self._listings.get(control)
+            checksum = listing.checksum if listing else 0
             greeting = messages.Greeting(self._role, self._name, checksum)
             self._actions.append(actions.SendMessage(control, greeting))
 
@@ -139,6 +140,11 @@
         }
         newest = sorted(kept.items(), key=lambda item: item[1], reverse=True)
         self._controls = dict(newest[:MAX_CONTROLS])
+        self._listings = {
+            control: listing
+            for control, listing in self._listings.items()
+            if control in self._controls
+        }
         self._entries = {
             entry: listed_at
             for entry, listed_at in self._entries.items()
@@ -148,22 +154,18 @@
     def _note_directory(
         self, message: messages.Directory, peer: model.Endpoint
     ) -> None:
-        known = self._checksums.get(peer)
         self._controls[peer] = self._now
         if message.controls or message.entries:
-            self._checksums[peer] = message.checksum
-            for control in message.controls:
+            self._listings[peer] = message
+        listing = self._listings.get(peer)
+        # Without addresses the answer means that the listing still holds.
+        if listing is not None and listing.checksum == message.checksum:
+            for control in listing.controls:
                 self._controls.setdefault(control, self._now)
-            self._entries.update(dict.fromkeys(message.entries, self._now))
-        elif message.checksum == known:
-            self._renew_entries()
+            self._entries.update(dict.fromkeys(listing.entries, self._now))
         if self._role is messages.Role.ENTRY:
             self._pull_if_newer(message.version, peer)
 
-    def _renew_entries(self) -> None:
-        """Keep the entries while control says that nothing has changed."""
-        self._entries = dict.fromkeys(self._entries, self._now)
-
     # Pulls
 
     def _pull_if_newer(self, version: int, peer: model.Endpoint) -> None:
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -10,6 +10,7 @@
 import datetime
 
 from egretfork import actions as common
+from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
 from egretfork.passthrough import messages
@@ -130,7 +131,7 @@
         """Conclude searches and expire what is no longer needed."""
         self._begin(now)
         for flow, found in list(self._searches.items()):
-            if found.is_over(now):
+            if found.is_forgotten(now):
                 del self._searches[flow]
             elif not found.concluded and found.is_complete(now):
                 self._conclude_search(flow, found)
@@ -285,7 +286,7 @@
         *,
         wide: bool,
     ) -> None:
-        services = {share.service for share in route.shares}
+        services = route.list_services()
         asked = {
             agent.address
             for agent in self._agents.values()
@@ -354,6 +355,11 @@
         if hint is not None and not hint.opened:
             hint.agent = agent
             hint.opened = True
+            self._actions.append(
+                actions.ObserveLatency(
+                    metrics.Latency.FLOW_OPENING, self._now - hint.used_at
+                )
+            )
 
     def _note_not_held(
         self, message: messages.NotHeld, peer: model.Endpoint
--- a/src/egretfork/passthrough/flowtable.py
+++ b/src/egretfork/passthrough/flowtable.py
@@ -28,7 +28,8 @@
     Attributes:
         entry: entry that delivered its newest packet.
         used_at: instant of its newest packet.
-        running: a request waits for the first byte of its answer.
+        running_since: instant from which a request waits for the first
+            byte of its answer; none if there is no such request.
         caller_finished: the caller has no more data.
         target_finished: the target has no more data.
     """
@@ -36,7 +37,7 @@
     stage: Stage
     entry: model.Endpoint
     used_at: datetime.timedelta
-    running: bool = False
+    running_since: datetime.timedelta | None = None
     caller_finished: bool = False
     target_finished: bool = False
 
@@ -100,19 +101,22 @@
         self.open_count += _is_counted(stage) - _is_counted(flow.stage)
         flow.stage = stage
         if stage is Stage.CLOSED:
-            self.set_running(flow, running=False)
+            self.set_running(flow, None)
 
-    def set_running(self, flow: HeldFlow, *, running: bool) -> None:
-        """Note that a request began or that its answer has begun."""
-        self.running_count += running - flow.running
-        flow.running = running
+    def set_running(
+        self, flow: HeldFlow, since: datetime.timedelta | None
+    ) -> None:
+        """Note that a request began, or that its answer did."""
+        was_running = flow.running_since is not None
+        self.running_count += (since is not None) - was_running
+        flow.running_since = since
 
     def remove(self, key: packets.FlowKey) -> None:
         """Forget a flow."""
         flow = self._flows.pop(key, None)
         if flow is not None:
             self.open_count -= _is_counted(flow.stage)
-            self.running_count -= flow.running
+            self.running_count -= flow.running_since is not None
 
     def end_all(self) -> int:
         """Note that the target has lost all flows; return how many."""
--- a/src/egretfork/passthrough/routing.py
+++ b/src/egretfork/passthrough/routing.py
@@ -8,6 +8,8 @@
 
 from egretfork.passthrough import packets
 
+MAX_EARLIER_SERVICES = 8
+
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
     """Part of the new flows of a route that a service takes."""
@@ -17,10 +19,21 @@
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
-    """Service address and the services that take its new flows."""
+    """Service address and the services that take its new flows.
+
+    Attributes:
+        earlier: other services that took new flows by earlier versions and
+            may still hold some.
+    """
 
     address: packets.ServiceAddress
     shares: tuple[Share, ...]
+    earlier: tuple[str, ...] = ()
+
+    def list_services(self) -> frozenset[str]:
+        """Return all services that may hold flows of the route."""
+        current = (share.service for share in self.shares)
+        return frozenset(itertools.chain(current, self.earlier))
 
 
 class Routing(msgspec.Struct, frozen=True, array_like=True):
@@ -47,6 +60,35 @@
         return self.routing.version
 
 
+def remember_services(before: Routing, newest: Routing) -> Routing:
+    """Return a routing that names the services of the one before it.
+
+    A route that the version before did not have starts without any.
+    """
+    known = {route.address: route for route in before.routes}
+    routes = tuple(
+        (
+            _remember_route(known[route.address], route)
+            if route.address in known
+            else route
+        )
+        for route in newest.routes
+    )
+    return Routing(newest.version, routes)
+
+
+def _remember_route(before: Route, newest: Route) -> Route:
+    current = {share.service for share in newest.shares}
+    released = [share.service for share in before.shares]
+    earlier = dict.fromkeys(itertools.chain(released, before.earlier))
+    kept = (service for service in earlier if service not in current)
+    return Route(
+        newest.address,
+        newest.shares,
+        tuple(itertools.islice(kept, MAX_EARLIER_SERVICES)),
+    )
+
+
 class RouteTable:
     """Lookup of routes by service address, for one version."""
 
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -17,6 +17,8 @@
 REPLY_LIMIT = datetime.timedelta(milliseconds=60)
 # How long the result that nobody holds a flow stands.
 RESULT_LIMIT = datetime.timedelta(milliseconds=150)
+# How long it makes the next search a wide one.
+MEMORY_LIMIT = datetime.timedelta(seconds=2)
 MAX_WAITING = 32
 
 
@@ -66,6 +68,10 @@
         """Return whether a further packet begins another search."""
         return self.concluded and now - self.started_at >= RESULT_LIMIT
 
+    def is_forgotten(self, now: datetime.timedelta) -> bool:
+        """Return whether a further packet begins a first search."""
+        return self.concluded and now - self.started_at >= MEMORY_LIMIT
+
     def take_waiting(self) -> collections.abc.Iterator[bytes]:
         """Return the packets that waited, and hold none any longer."""
         taken, self.waiting = self.waiting, []
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -74,6 +74,8 @@
             case actions.SendToTarget():
                 if self._send_to_target and self._target_address:
                     self._send_to_target(action.data, self._target_address)
+            case actions.ObserveLatency():
+                self._registry.observe(action.kind, action.duration)
             case common.CountReason():
                 self._registry.count(action.reason)
             case common.LogEvent():
--- a/src/egretfork/webserver.py
+++ b/src/egretfork/webserver.py
@@ -56,6 +56,13 @@
         self._server: asyncio.Server | None = None
         self._connections = 0
 
+    @property
+    def port(self) -> int:
+        """Return the TCP port, which is known once started."""
+        if self._server is None:
+            return self._address.port
+        return int(self._server.sockets[0].getsockname()[1])
+
     async def on_start(self) -> None:
         """Listen.
 
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -15,6 +15,7 @@
 from egretfork.control import core
 from egretfork.control import entries
 from egretfork.control import events
+from egretfork.control import joining
 from egretfork.control import log
 from egretfork.control import raft
 from egretfork.control import storage
@@ -88,7 +89,13 @@
 class Cluster:
     """Members, their network and the time."""
 
-    def __init__(self, seed: int, compact_after_entries: int = 25) -> None:
+    def __init__(
+        self,
+        seed: int,
+        compact_after_entries: int = 25,
+        wanted_voters: int = 0,
+    ) -> None:
+        self._wanted_voters = wanted_voters
         self.generator = random.Random(seed)
         self.now = datetime.timedelta()
         self.oracle = Oracle()
@@ -134,7 +141,10 @@
         member.published = model.Configuration()
         member.waiting.clear()
         member.decisions = core.ControlCore(
-            member.name, self.build_raft(loaded), self._compact_after_entries
+            member.name,
+            self.build_raft(loaded),
+            self._compact_after_entries,
+            self._build_joining(),
         )
         self._publish(member, member.decisions.configuration)
 
@@ -151,6 +161,39 @@
             now=self.now,
         )
 
+    def _build_joining(self) -> joining.Joining | None:
+        if not self._wanted_voters:
+            return None
+        return joining.Joining(self._wanted_voters)
+
+    def replace_disk(self, member: FakeMember) -> FakeMember:
+        """Start a member with an empty disk at the address of another."""
+        self.crash(member)
+        member.lost = True
+        replacement = self.add_member()
+        replacement.address = member.address
+        return replacement
+
+    def request_joins(self) -> None:
+        """Let members that hear no leader ask all others to join."""
+        asking = [
+            self.describe(member)
+            for member in self.members
+            if member.decisions
+            and not member.decisions.consensus.leader
+            and not member.is_leader
+        ]
+        for described in asking:
+            for member in self.members:
+                self._deliver(member, core.JoinRequested(described))
+
+    def run_with_joins(self, duration: datetime.timedelta) -> None:
+        """Let time pass while members ask to join each 400 ms."""
+        end = self.now + duration
+        while self.now < end:
+            self.request_joins()
+            self.run(8 * STEP)
+
     def read_log(self, member: FakeMember) -> log.Log:
         """Return the log of a member that is up or has stopped."""
         if member.decisions is not None:
@@ -178,8 +221,9 @@
         """Send a query to a member and return the client's number."""
         client = str(next(self._numbers)).encode()
         if isinstance(query, api.Submit):
-            request_id = query.command.request_id
-            self.oracle.submitted.setdefault(request_id, query.command)
+            command = query.command
+            if not isinstance(command, commands.Declare):
+                self.oracle.submitted.setdefault(command.request_id, command)
         self._deliver(member, core.QueryReceived(client, query))
         return client
 
@@ -252,14 +296,16 @@
                 self._note_reply(action)
             case core.Publish():
                 self._publish(member, action.configuration)
-            case core.DropNode():
+            case core.DropNode() | core.PublishRouting():
                 pass
             case _:
                 files.save(action)
 
     def _note_reply(self, action: core.Answer) -> None:
         self.replies[action.client] = action.reply
-        if isinstance(action.reply, api.Concluded):
+        if isinstance(action.reply, api.Concluded) and (
+            action.reply.outcome.request_id
+        ):
             self.oracle.note_outcome(action.reply.outcome)
 
     def _publish(
--- /dev/null
+++ b/tests/control/test_declarations.py
@@ -0,0 +1,173 @@
+"""Declarations: the highest version wins and survives lost disks."""
+
+import datetime
+import unittest
+
+from egretfork.control import api
+from egretfork.control import commands
+from egretfork.control import entries
+from egretfork.control import state
+from egretfork.passthrough import packets
+from egretfork.passthrough import routing
+from tests.control import cluster
+
+SECOND = datetime.timedelta(seconds=1)
+ADDRESS = packets.ServiceAddress(0xC6120001, 443)
+VOTERS = 5
+
+
+def build(version: int, service: str = "mail") -> routing.Declaration:
+    """Return a declaration with one route."""
+    route = routing.Route(ADDRESS, (routing.Share(service, 1),))
+    document = f"{version} {service}".encode()
+    return routing.Declaration(routing.Routing(version, (route,)), document)
+
+
+def declare(
+    group: cluster.Cluster, declaration: routing.Declaration
+) -> api.Reply:
+    """Submit a declaration to the leader until it is concluded."""
+    command = commands.Declare(declaration)
+    for _ in range(40):
+        leader = group.find_leader()
+        if leader is not None:
+            client = group.ask(leader, api.Submit(1, command))
+            group.run(6 * cluster.STEP)
+            reply = group.replies.get(client)
+            if isinstance(reply, api.Concluded):
+                return reply
+        group.run_with_joins(10 * cluster.STEP)
+    raise AssertionError("the declaration was not concluded")
+
+
+def read(group: cluster.Cluster) -> routing.Declaration:
+    """Read the newest declaration from the leader."""
+    leader = group.find_leader()
+    assert leader is not None
+    client = group.ask(leader, api.ReadDeclaration(1))
+    group.run(6 * cluster.STEP)
+    reply = group.replies[client]
+    assert isinstance(reply, api.DeclarationRead), reply
+    return reply.declaration
+
+
+class VersionTest(unittest.TestCase):
+    """Guards against declarations that go back."""
+
+    def setUp(self) -> None:
+        self.machine = state.StateMachine()
+        self.machine.apply(commands.Declare(build(7)))
+
+    def test_a_higher_version_wins(self) -> None:
+        outcome = self.machine.apply(commands.Declare(build(9)))
+        assert outcome is not None
+        self.assertEqual(outcome.version, 9)
+        self.assertEqual(self.machine.state.declaration.version, 9)
+
+    def test_a_lower_or_equal_version_is_accepted_without_effect(self) -> None:
+        for version in (6, 7):
+            outcome = self.machine.apply(
+                commands.Declare(build(version, "other"))
+            )
+            assert outcome is not None
+            self.assertIs(outcome.kind, commands.OutcomeKind.ACCEPTED)
+            self.assertEqual(self.machine.state.declaration, build(7))
+
+    def test_a_snapshot_keeps_the_declaration(self) -> None:
+        restored = state.StateMachine(self.machine.encode())
+        self.assertEqual(restored.state.declaration, build(7))
+
+    def test_earlier_services_are_remembered(self) -> None:
+        self.machine.apply(commands.Declare(build(8, "feed")))
+        self.machine.apply(commands.Declare(build(9, "feed")))
+        route = self.machine.state.declaration.routing.routes[0]
+        self.assertEqual(route.earlier, ("mail",))
+        self.machine.apply(commands.Declare(build(10)))
+        route = self.machine.state.declaration.routing.routes[0]
+        self.assertEqual(route.earlier, ("feed",))
+        self.assertEqual(route.list_services(), {"mail", "feed"})
+
+
+class LossTest(unittest.TestCase):
+    """Guards against the loss of what was acknowledged."""
+
+    def build_group(self, seed: int) -> cluster.Cluster:
+        group = cluster.Cluster(seed, wanted_voters=VOTERS)
+        first = group.add_member(first=True)
+        group.run_until(lambda: first.is_leader)
+        for _ in range(VOTERS - 1):
+            group.add_member()
+        group.run_with_joins(6 * SECOND)
+        return group
+
+    def count_voters(self, group: cluster.Cluster) -> int:
+        leader = group.find_leader()
+        assert leader is not None and leader.decisions is not None
+        members = leader.decisions.consensus.log.members
+        living = {item.identity for item in group.members if not item.lost}
+        return len(entries.list_voters(members) & living)
+
+    def test_processes_become_voters_on_their_own(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                group = self.build_group(seed)
+                self.assertEqual(self.count_voters(group), VOTERS)
+
+    def test_two_lost_disks(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                group = self.build_group(seed)
+                declare(group, build(3))
+                lost = group.generator.sample(group.members, 2)
+                for member in lost:
+                    group.replace_disk(member)
+                group.run_with_joins(10 * SECOND)
+                self.assertEqual(self.count_voters(group), VOTERS)
+                self.assertEqual(read(group), build(3))
+                declare(group, build(4))
+                self.assertEqual(read(group), build(4))
+
+    def test_two_lost_disks_while_all_lose_power(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                group = self.build_group(seed)
+                declare(group, build(3))
+                lost = group.generator.sample(group.members, 2)
+                for member in [m for m in group.members if m not in lost]:
+                    group.crash(member)
+                    group.start(member)
+                for member in lost:
+                    group.replace_disk(member)
+                group.run_with_joins(12 * SECOND)
+                self.assertEqual(read(group), build(3))
+                self.assertEqual(self.count_voters(group), VOTERS)
+
+    def test_a_member_gone_for_good_is_replaced(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                group = self.build_group(seed)
+                gone = group.generator.choice(group.members)
+                group.crash(gone)
+                gone.lost = True
+                group.run_with_joins(SECOND)
+                group.add_member()
+                group.run_with_joins(8 * SECOND)
+                self.assertEqual(self.count_voters(group), VOTERS)
+
+    def test_a_removed_member_that_returns_is_a_learner(self) -> None:
+        group = self.build_group(0)
+        away = next(m for m in group.members if not m.is_leader)
+        group.crash(away)
+        group.add_member()
+        group.run_with_joins(8 * SECOND)
+        group.start(away)
+        group.run_with_joins(8 * SECOND)
+        leader = group.find_leader()
+        assert leader is not None and leader.decisions is not None
+        members = leader.decisions.consensus.log.members
+        self.assertIn(away.identity, entries.list_identities(members))
+        self.assertEqual(len(entries.list_voters(members)), VOTERS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/passthrough/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of passed-through flows."""
--- /dev/null
+++ b/tests/passthrough/test_forwarding.py
@@ -0,0 +1,188 @@
+"""Entries and agents together: flows stay where they were opened."""
+
+import unittest
+
+from tests.passthrough import support
+
+FLOW = support.build_flow(1)
+
+
+def start(
+    services: tuple[str, ...] = (support.SERVICE,) * 3, entries: int = 2
+) -> support.Network:
+    """Return a network in which all targets are ready."""
+    network = support.Network(services, entries)
+    network.route(support.build_routing(1))
+    network.advance(300)
+    return network
+
+
+def open_flow(network: support.Network, entry: int = 0) -> int:
+    """Open a flow and return the target that holds it."""
+    network.send(entry, support.WirePacket(FLOW, "open"))
+    holders = network.list_holders(FLOW)
+    assert len(holders) == 1, holders
+    return holders[0]
+
+
+class FlowTest(unittest.TestCase):
+    """Guards against packets that miss the target of their flow."""
+
+    def test_packets_follow_the_opening(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(len(network.targets[holder].taken), 2)
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_another_entry_finds_the_flow(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(len(network.targets[holder].taken), 2)
+        others = [t for t in network.targets if not t.held]
+        self.assertEqual([t.taken for t in others], [[], []])
+
+    def test_a_restarted_agent_still_serves_its_flows(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.restart_agent(holder)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_another_entry_finds_a_flow_of_a_restarted_agent(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.restart_agent(holder)
+        network.advance(100)
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        network.advance(100)
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_the_first_report_after_a_restart_ends_no_flow(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.restart_agent(holder)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        network.advance(100)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        kinds = {packet.kind for packet in network.to_callers}
+        self.assertNotIn("reset", kinds)
+
+    def test_a_flow_stays_at_a_service_that_lost_its_route(self) -> None:
+        network = start(("old", "old", "new"))
+        network.route(support.build_routing(2, "old"))
+        holder = open_flow(network)
+        network.route(support.build_routing(3, "new", earlier=("old",)))
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(len(network.targets[holder].taken), 2)
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_a_repeated_search_asks_every_agent(self) -> None:
+        network = start(("old", "old", "new"))
+        network.route(support.build_routing(2, "old"))
+        holder = open_flow(network)
+        network.route(support.build_routing(3, "new"))
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        network.advance(200)
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(len(network.targets[holder].taken), 2)
+
+    def test_packets_without_a_route_are_dropped(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        empty = support.build_routing(2)
+        network.route(type(empty)(2, ()))
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(len(network.targets[holder].taken), 1)
+
+    def test_an_older_routing_changes_nothing(self) -> None:
+        network = start()
+        network.route(support.build_routing(0, "other"))
+        self.assertEqual(network.entries[0].version, 1)
+
+    def test_the_end_of_a_target_resets_its_flows(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        core = network.agents[holder]
+        network.targets[holder].held.clear()
+        newer = support.build_report(1, identifier="i-new", born_ms=5000)
+        core.handle_report(newer, network.now)
+        network.send(0, support.WirePacket(FLOW, "data", 100, acknowledged=7))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+        self.assertEqual(network.to_callers[-1].acknowledged, 7)
+
+
+class OpeningTest(unittest.TestCase):
+    """Guards against flows opened where they must not be."""
+
+    def test_a_leaving_target_gets_no_flow(self) -> None:
+        network = start()
+        network.unreachable.add(support.entry_address(0))
+        network.report(0, leaving=True)
+        network.unreachable.clear()
+        for number in range(20):
+            flow = support.build_flow(number)
+            network.send(0, support.WirePacket(flow, "open"))
+            self.assertEqual(len(network.list_holders(flow)), 1)
+        self.assertEqual(network.targets[0].held, set())
+
+    def test_a_silent_target_gets_no_flow(self) -> None:
+        network = start((support.SERVICE,), 1)
+        network.advance(2000, reports=False)
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.targets[0].taken, [])
+
+    def test_a_restarted_agent_waits_for_a_report(self) -> None:
+        network = start((support.SERVICE,), 1)
+        network.restart_agent(0)
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.targets[0].taken, [])
+        network.report(0)
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.list_holders(FLOW), [0])
+
+    def test_a_target_of_another_service_gets_no_flow(self) -> None:
+        network = start((support.SERVICE,), 1)
+        newer = support.build_report(
+            1, identifier="i-new", born_ms=5000, service="other"
+        )
+        network.agents[0].handle_report(newer, network.now)
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.targets[0].taken, [])
+
+    def test_a_full_target_is_passed_over(self) -> None:
+        network = start()
+        for target in network.targets[:2]:
+            target.full = True
+        open_flow(network)
+        self.assertEqual(network.list_holders(FLOW), [2])
+
+    def test_a_caller_is_refused_when_all_are_full(self) -> None:
+        network = start()
+        for target in network.targets:
+            target.full = True
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
+    def test_a_copy_goes_elsewhere_when_nothing_came_back(self) -> None:
+        network = start((support.SERVICE,) * 2, 1)
+        network.send(0, support.WirePacket(support.build_flow(0), "open"))
+        first = network.list_holders(support.build_flow(0))[0]
+        network.unreachable.add(support.agent_address(1 - first))
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.list_holders(FLOW), [])
+        network.send(0, support.WirePacket(FLOW, "open"))
+        self.assertEqual(network.list_holders(FLOW), [first])
+
+    def test_new_flows_are_spread_evenly(self) -> None:
+        network = start((support.SERVICE,) * 5, 1)
+        for number in range(100):
+            flow = support.build_flow(number)
+            network.send(0, support.WirePacket(flow, "open"))
+        counts = [len(target.held) for target in network.targets]
+        self.assertEqual(counts, [20] * 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_registrations.py
@@ -0,0 +1,74 @@
+"""Heartbeats of endpoints: what is valid, and what it means."""
+
+import json
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from tests import platform  # noqa: F401  (adds the adapter to the path)
+
+from egretfork_platform import registrations
+
+from egretfork.passthrough import target
+from egretfork import reasons
+
+
+def read(**changes: typing.Any) -> target.Report | reasons.Failure:
+    """Read a heartbeat with changes; ``None`` leaves a part out."""
+    body = {
+        "service": "mail",
+        "address": "10.128.0.9:8080",
+        "zone": "bcs-a",
+        "version": "v1",
+        "concurrency": 2,
+        "state": "ready",
+        "warmupRemainingMs": 250,
+        "sequence": 4,
+        "born": 1787509025714,
+    } | changes
+    kept = {key: part for key, part in body.items() if part is not None}
+    return registrations.read("i-1", json.dumps(kept).encode())
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Guards against heartbeats that are misread."""
+
+    def test_valid(self) -> None:
+        expected = target.Report(
+            "i-1", 1787509025714, 4, "mail", 2, False, 250
+        )
+        self.assertEqual(read(), expected)
+
+    def test_leaving(self) -> None:
+        report = read(state="draining", born=None)
+        assert isinstance(report, target.Report)
+        self.assertTrue(report.leaving)
+        self.assertEqual(report.born_ms, 0)
+
+    def test_invalid(self) -> None:
+        for changes in (
+            {"state": "gone"},
+            {"state": None},
+            {"service": None},
+            {"service": 7},
+            {"service": ""},
+            {"concurrency": 0},
+            {"concurrency": "2"},
+            {"sequence": None},
+            {"sequence": -1},
+            {"born": "yesterday"},
+            {"born": 1.5},
+        ):
+            with self.subTest(changes):
+                self.assertIsInstance(read(**changes), reasons.Failure)
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_any_bytes(self, body: bytes) -> None:
+        result = registrations.read("i-1", body)
+        self.assertIsInstance(result, (reasons.Failure, target.Report))
+
+
+if __name__ == "__main__":
+    unittest.main()
