Recover faster after the loss of all machines

An entry that has run for 2 s resets a flow when every agent of its services surely does not hold it. An agent whose target signed off announces its end. Daemons are supervised by runtime itself: mode's worker took 1 s to close its loop.

--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -37,7 +37,7 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 SEND_QUEUE_MESSAGES = 256
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 1000
+RECONNECT_MAX_MS = 300
 
 # Bounds the time for which a connection to a VM that vanished is kept.
 UNACKNOWLEDGED_MAX_MS = 4000
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -38,11 +38,16 @@
         heartbeat: between messages of a leader that has nothing to say.
         election_min: silence of a leader after which it may be replaced.
         election_max: silence after which it surely is.
+        start_min: time after the start of a process before it may be a
+            candidate.
+        start_max: time after its start when it surely is.
     """
 
     heartbeat: datetime.timedelta = HEARTBEAT
     election_min: datetime.timedelta = ELECTION_TIMEOUT_MIN
     election_max: datetime.timedelta = ELECTION_TIMEOUT_MAX
+    start_min: datetime.timedelta = ELECTION_TIMEOUT_MIN
+    start_max: datetime.timedelta = ELECTION_TIMEOUT_MAX
 
 
 DEFAULT_TIMING = Timing()
@@ -94,7 +99,9 @@
         self._actions: list[events.Action] = []
         # A group of one waits too: the disk may have been rolled back to a
         # time before other members joined, whose leader then speaks first.
-        self._delay_election()
+        self._election_at = now + self._draw(
+            timing.start_min, timing.start_max
+        )
 
     @property
     def term(self) -> int:
@@ -117,9 +124,17 @@
 
     def _delay_election(self) -> None:
         timing = self._timing
-        span = (timing.election_max - timing.election_min).total_seconds()
-        extra = datetime.timedelta(seconds=self._random.uniform(0, span))
-        self._election_at = self._now + timing.election_min + extra
+        self._election_at = self._now + self._draw(
+            timing.election_min, timing.election_max
+        )
+
+    def _draw(
+        self, least: datetime.timedelta, most: datetime.timedelta
+    ) -> datetime.timedelta:
+        span = (most - least).total_seconds()
+        return least + datetime.timedelta(
+            seconds=self._random.uniform(0, span)
+        )
 
     # Write sequences
 
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -26,6 +26,8 @@
 AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
+# After this time every agent that runs has announced itself.
+AGENTS_KNOWN_AFTER = datetime.timedelta(seconds=2)
 # Routes may lead to agents that have not announced themselves yet.
 READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
 
@@ -65,6 +67,7 @@
             collections.OrderedDict()
         )
         self._searches: dict[packets.FlowKey, search.Search] = {}
+        self._started_at = now
         self._now = now
         self._actions: list[actions.Action] = []
 
@@ -133,8 +136,8 @@
         for flow, found in list(self._searches.items()):
             if found.is_forgotten(now):
                 del self._searches[flow]
-            elif not found.concluded and found.is_complete(now):
-                self._conclude_search(flow, found)
+            else:
+                self._advance_search(flow, found)
         self._expire_hints()
         self._expire_agents()
         return self._actions
@@ -158,7 +161,7 @@
             detail = f"reason=no_route version={routes.version}"
             self._log("packet_dropped", packet.flow, detail)
             return
-        hint = self._hints.get(packet.flow)
+        hint = self._find_hint(packet.flow)
         if packet.opens:
             self._open(packet, route, hint)
         elif hint is not None:
@@ -166,6 +169,14 @@
         else:
             self._search_for(packet, route)
 
+    def _find_hint(self, flow: packets.FlowKey) -> Hint | None:
+        """Return the hint of a flow unless its agent is gone for good."""
+        hint = self._hints.get(flow)
+        if hint is not None and hint.agent not in self._agents:
+            del self._hints[flow]
+            return None
+        return hint
+
     def _forward(self, packet: packets.Packet, hint: Hint) -> None:
         hint.used_at = self._now
         self._hints.move_to_end(packet.flow)
@@ -286,7 +297,8 @@
         *,
         wide: bool,
     ) -> None:
-        services = route.list_services()
+        # An agent that waits for a report may hold flows of any service.
+        services = route.list_services() | {""}
         asked = {
             agent.address
             for agent in self._agents.values()
@@ -294,7 +306,9 @@
             and agent.address not in without
         }
         service = routing.choose_service(route, packet.flow)
-        started = search.Search(service, self._now, set(asked), wide)
+        started = search.Search(
+            service, self._now, set(asked), packet.acknowledged, wide
+        )
         started.add_packet(packet.data)
         self._searches[packet.flow] = started
         for address in sorted(asked):
@@ -312,8 +326,7 @@
             self._settle(message.flow, found, peer)
             return
         found.note_reply(peer, message.holding)
-        if not found.concluded and found.is_complete(self._now):
-            self._conclude_search(message.flow, found)
+        self._advance_search(message.flow, found)
 
     def _settle(
         self,
@@ -329,20 +342,43 @@
         for data in found.take_waiting():
             self._send(holder, messages.Deliver(service, data))
 
-    def _conclude_search(
+    def _advance_search(
         self, flow: packets.FlowKey, found: search.Search
     ) -> None:
-        found.concluded = True
-        detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
-        self._log("search_failed", flow, detail)
+        if found.concluded or not found.is_complete(self._now):
+            return
+        if found.unsure and not found.tried:
+            self._try_unsure(found)
+        else:
+            self._conclude_search(flow, found)
+
+    def _try_unsure(self, found: search.Search) -> None:
+        """Let the unsure agents offer the packets to their targets."""
+        found.tried = True
         waiting = list(found.take_waiting())
-        for agent in found.unsure:
+        for agent in sorted(found.unsure):
             view = self._agents.get(agent)
             service = view.announcement.service if view else found.service
             for data in waiting:
                 self._send(agent, messages.Deliver(service, data))
-        if not found.unsure:
-            self._count(reasons.Drop.NO_TARGETS)
+
+    def _conclude_search(
+        self, flow: packets.FlowKey, found: search.Search
+    ) -> None:
+        found.concluded = True
+        found.waiting.clear()
+        detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
+        self._log("search_failed", flow, detail)
+        self._count(reasons.Drop.NO_TARGETS)
+        all_known = self._now - self._started_at >= AGENTS_KNOWN_AFTER
+        if all_known and found.is_held_nowhere():
+            self._reset(flow, found.acknowledged)
+
+    def _reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
+        """Tell a caller that no target holds its flow any longer."""
+        self._log("flow_reset", flow, "reason=held_nowhere")
+        data = self._codec.build_reset(flow, acknowledged)
+        self._actions.append(actions.SendToCaller(flow, data))
 
     def _note_opened(
         self, flow: packets.FlowKey, agent: model.Endpoint
@@ -365,6 +401,11 @@
         self, message: messages.NotHeld, peer: model.Endpoint
     ) -> None:
         """Search elsewhere for a flow that a hinted agent does not hold."""
+        known = self._searches.get(message.flow)
+        if known is not None:
+            known.note_not_held(peer)
+            self._advance_search(message.flow, known)
+            return
         hint = self._hints.get(message.flow)
         if hint is None or hint.agent != peer or self._routes is None:
             return
@@ -374,7 +415,7 @@
             self._count(reasons.Drop.MALFORMED)
             return
         route = self._routes.find(message.flow.service_address)
-        if route is not None and message.flow not in self._searches:
+        if route is not None:
             self._start_search(packet, route, frozenset({peer}), wide=True)
 
     # Agents and hints
@@ -383,6 +424,10 @@
         self, message: messages.Announcement, peer: model.Endpoint
     ) -> None:
         known = self._agents.get(peer)
+        if message.state is messages.TargetState.ENDED and message.stopping:
+            self._agents.pop(peer, None)
+            self._log_agent(peer, message)
+            return
         if known is None:
             view = placement.AgentView(peer, message, self._now)
             self._agents[peer] = view
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -92,6 +92,7 @@
     UNKNOWN = "unknown"
     READY = "ready"
     LEAVING = "leaving"
+    ENDED = "ended"
 
 
 class Announcement(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -15,8 +15,11 @@
 from egretfork.passthrough import messages
 
 REPLY_LIMIT = datetime.timedelta(milliseconds=60)
+# Further time for targets to return what they do not hold.
+TRY_LIMIT = datetime.timedelta(milliseconds=60)
+NO_TIME = datetime.timedelta()
 # How long the result that nobody holds a flow stands.
-RESULT_LIMIT = datetime.timedelta(milliseconds=150)
+RESULT_LIMIT = datetime.timedelta(milliseconds=180)
 # How long it makes the next search a wide one.
 MEMORY_LIMIT = datetime.timedelta(seconds=2)
 MAX_WAITING = 32
@@ -28,17 +31,21 @@
 
     Attributes:
         unanswered: agents that have not replied.
+        acknowledged: number that the caller expects next.
         unsure: agents whose targets may hold the flow.
         waiting: packets that arrived meanwhile.
         wide: all agents were asked, whatever their service.
+        tried: the unsure agents have the packets.
         concluded: nobody is known to hold the flow.
     """
 
     service: str
     started_at: datetime.timedelta
     unanswered: set[model.Endpoint]
+    acknowledged: int
     wide: bool
-    unsure: list[model.Endpoint] = dataclasses.field(default_factory=list)
+    tried: bool = False
+    unsure: set[model.Endpoint] = dataclasses.field(default_factory=set)
     waiting: list[bytes] = dataclasses.field(default_factory=list)
     concluded: bool = False
 
@@ -57,12 +64,22 @@
             return
         self.unanswered.discard(agent)
         if holding is messages.Holding.UNSURE:
-            self.unsure.append(agent)
+            self.unsure.add(agent)
+
+    def note_not_held(self, agent: model.Endpoint) -> None:
+        """Note that the target of an agent returned the packets."""
+        self.unsure.discard(agent)
+
+    def is_held_nowhere(self) -> bool:
+        """Return whether every agent asked surely does not hold the flow."""
+        return not self.unanswered and not self.unsure
 
     def is_complete(self, now: datetime.timedelta) -> bool:
         """Return whether no further reply is waited for."""
-        late = now - self.started_at >= REPLY_LIMIT
-        return not self.unanswered or late
+        limit = REPLY_LIMIT + (TRY_LIMIT if self.tried else NO_TIME)
+        late = now - self.started_at >= limit
+        replied = not self.unanswered and not (self.tried and self.unsure)
+        return replied or late
 
     def is_over(self, now: datetime.timedelta) -> bool:
         """Return whether a further packet begins another search."""
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -99,8 +99,10 @@
 
     def read_state(self, now: datetime.timedelta) -> messages.TargetState:
         """Return what may be sent to the target at this instant."""
-        if self._report is None or self._gone_at is not None:
+        if self._report is None:
             return messages.TargetState.UNKNOWN
+        if self._gone_at is not None:
+            return messages.TargetState.ENDED
         if self._report.leaving:
             return messages.TargetState.LEAVING
         if now - self._reported_at > self._lease:
@@ -114,7 +116,7 @@
         state = self.read_state(now)
         if state is messages.TargetState.LEAVING:
             return messages.DeclineReason.LEAVING
-        if self._report is None or state is messages.TargetState.UNKNOWN:
+        if self._report is None or state is not messages.TargetState.READY:
             return messages.DeclineReason.UNKNOWN_TARGET
         if self._report.service != service:
             return messages.DeclineReason.WRONG_SERVICE
--- a/src/egretfork/runtime.py
+++ b/src/egretfork/runtime.py
@@ -1,5 +1,9 @@
 """Start of a daemon: logs, metrics, supervisor tree and exit code."""
 
+import asyncio
+import logging
+import signal
+import sys
 import typing
 
 import mode
@@ -7,6 +11,9 @@
 from egretfork import logs
 from egretfork import metrics
 
+LOGGER = logging.getLogger(__name__)
+
+EXIT_CRASH = 1
 EXIT_USAGE = 2
 
 
@@ -81,9 +88,37 @@
     Raises:
         SystemExit: always; 0 after a clean stop, 1 after a crash.
     """
-    worker = mode.Worker(
-        root,
-        redirect_stdouts=False,
-        override_logging=False,
+    sys.exit(asyncio.run(_supervise(root)))
+
+
+async def _supervise(root: mode.Service) -> int:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        await root.start()
+        await _wait(stopping, root)
+        await root.stop()
+    except Exception:
+        LOGGER.exception("daemon_failed", extra={"step": "supervise"})
+        return EXIT_CRASH
+    if root.crashed:
+        LOGGER.error(
+            "daemon_crashed",
+            exc_info=root.crash_reason,
+            extra={"step": "supervise"},
+        )
+        return EXIT_CRASH
+    return 0
+
+
+async def _wait(stopping: asyncio.Event, root: mode.Service) -> None:
+    """Wait for a signal or for the end of the root, whichever is first."""
+    tasks = (
+        asyncio.create_task(stopping.wait()),
+        asyncio.create_task(root.wait_until_stopped()),
     )
-    worker.execute_from_commandline()
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -171,6 +171,12 @@
         )
         self.agents[number] = core
 
+    def stop_agent(self, number: int) -> None:
+        """Stop an agent for good."""
+        wanted = self.agents[number].handle_stop(self.now)
+        self._carry_out(wanted, agent_address(number))
+        del self.agents[number]
+
     def report(self, number: int, *, leaving: bool = False) -> None:
         """Let a target report to its agent."""
         self._sequence += 1
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -96,6 +96,52 @@
         network.send(0, support.WirePacket(FLOW, "data", 100))
         self.assertEqual(len(network.targets[holder].taken), 1)
 
+    def lose_all_flows(self, network: support.Network) -> None:
+        """Let all targets and agents restart."""
+        for number, target in enumerate(network.targets):
+            target.held.clear()
+            network.restart_agent(number)
+
+    def test_a_flow_that_nobody_holds_is_reset(self) -> None:
+        network = start()
+        open_flow(network)
+        network.advance(2000)
+        self.lose_all_flows(network)
+        network.advance(200)
+        network.send(1, support.WirePacket(FLOW, "data", 1, acknowledged=7))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+        self.assertEqual(network.to_callers[-1].acknowledged, 7)
+
+    def test_no_reset_while_an_agent_does_not_answer(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.advance(2000)
+        network.unreachable.add(support.agent_address(holder))
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        network.advance(300)
+        kinds = {packet.kind for packet in network.to_callers}
+        self.assertNotIn("reset", kinds)
+
+    def test_no_reset_by_an_entry_that_has_just_started(self) -> None:
+        network = start()
+        open_flow(network)
+        self.lose_all_flows(network)
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        network.advance(300)
+        kinds = {packet.kind for packet in network.to_callers}
+        self.assertNotIn("reset", kinds)
+
+    def test_a_hint_to_an_agent_that_is_gone_is_dropped(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.advance(2000)
+        network.targets[holder].held.clear()
+        core = network.agents[holder]
+        core.handle_target_end(f"i-{holder}", network.now)
+        network.stop_agent(holder)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
     def test_an_older_routing_changes_nothing(self) -> None:
         network = start()
         network.route(support.build_routing(0, "other"))
