--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -137,6 +137,9 @@
         self._raft = consensus
         self._compact_after_entries = compact_after_entries
         self._machine = state.StateMachine(consensus.log.snapshot.state)
+        for entry in consensus.list_committed():
+            if entry.command:
+                self._machine.apply(commands.decode(entry.command))
         self._duties = duties.Duties()
         self._pending: dict[int, Pending] = {}
         self._next_token = 1
--- a/src/egretfork/control/events.py
+++ b/src/egretfork/control/events.py
@@ -101,11 +101,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SaveEntries:
-    """Append to the segment; first remove entries from ``first`` on."""
+    """Append to the segment; first remove entries from ``first`` on.
+
+    Attributes:
+        commit: last entry known to be committed, which a start relies on.
+    """
 
     sequence: int
     first: int
     added: tuple[entries.Entry, ...]
+    commit: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/egretfork/control/following.py
+++ b/src/egretfork/control/following.py
@@ -73,7 +73,9 @@
         self.log.truncate(first)
         self.log.append(missing)
         self.sequence += 1
-        self._actions.append(events.SaveEntries(self.sequence, first, missing))
+        self._actions.append(
+            events.SaveEntries(self.sequence, first, missing, self.commit)
+        )
 
     def _on_snapshot(
         self, sender: str, message: entries.SnapshotRequest
--- a/src/egretfork/control/program.py
+++ b/src/egretfork/control/program.py
@@ -161,6 +161,7 @@
         seen=loaded.seen,
         seed=random.Random(secrets.randbits(64)),
         now=clock.MonotonicClock().now(),
+        commit=loaded.commit,
     )
     return core.ControlCore(name, consensus)
 
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -43,6 +43,13 @@
                 self._on_member_change(event)
         return self._actions
 
+    def list_committed(self) -> tuple[entries.Entry, ...]:
+        """Return the committed entries after the snapshot."""
+        first = self.log.snapshot.index + 1
+        return tuple(
+            self.log.get(index) for index in range(first, self.commit + 1)
+        )
+
     def _on_tick(self) -> None:
         self._save_seen()
         if not self.verified:
--- a/src/egretfork/control/storage.py
+++ b/src/egretfork/control/storage.py
@@ -62,11 +62,16 @@
 
 
 class StoredEntries(msgspec.Struct, frozen=True, array_like=True):
-    """Record of the segment: drop entries from ``first`` on, then add."""
+    """Record of the segment: drop entries from ``first`` on, then add.
+
+    Attributes:
+        commit: last entry known to be committed when this was written.
+    """
 
     sequence: int
     first: int
     added: tuple[entries.Entry, ...]
+    commit: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +80,7 @@
 
     Attributes:
         torn_bytes: size of the incomplete last record that was removed.
+        commit: last entry that the disk shows to be committed.
     """
 
     identity: str
@@ -83,6 +89,7 @@
     log: log.Log
     torn_bytes: int
     seen: tuple[entries.SeenSequence, ...] = ()
+    commit: int = 0
 
 
 class Storage:
@@ -139,11 +146,14 @@
         stored, torn_bytes = self._load_segment()
         sequences = [item.sequence for item in stored]
         self.sequence = max([vote.sequence, snapshot.sequence, *sequences])
+        held = _rebuild_log(snapshot, stored)
+        commits = (item.commit for item in stored)
         return Loaded(
             identity=identity.identity,
             sequence=self.sequence,
             vote=vote.vote,
-            log=_rebuild_log(snapshot, stored),
+            log=held,
+            commit=min(max(commits, default=0), held.last_index),
             torn_bytes=torn_bytes,
             seen=self._read(SEEN_FILE, StoredSeen).seen,
         )
@@ -171,7 +181,10 @@
                 self._replace(VOTE_FILE, stored_vote)
             case events.SaveEntries():
                 record = StoredEntries(
-                    action.sequence, action.first, action.added
+                    action.sequence,
+                    action.first,
+                    action.added,
+                    action.commit,
                 )
                 self._system.append(SEGMENT_FILE, _encode(record))
                 self._system.sync(SEGMENT_FILE)
--- a/src/egretfork/control/voting.py
+++ b/src/egretfork/control/voting.py
@@ -74,13 +74,14 @@
         seed: random.Random,
         now: datetime.timedelta,
         timing: Timing = DEFAULT_TIMING,
+        commit: int = 0,
     ) -> None:
         self._timing = timing
         self.identity = identity
         self.vote = vote
         self.log = held
         self.sequence = sequence
-        self.commit = held.snapshot.index
+        self.commit = max(held.snapshot.index, commit)
         self.role = Role.FOLLOWER
         self.leader = ""
         self.leading: leading.Leadership | None = None
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -17,6 +17,8 @@
 from egretfork.passthrough import routing
 
 GREET_PERIOD = datetime.timedelta(milliseconds=500)
+# Period of a node that has not learned yet what it needs.
+START_GREET_PERIOD = datetime.timedelta(milliseconds=100)
 PULL_TIMEOUT = datetime.timedelta(milliseconds=250)
 PULL_ATTEMPTS = 3
 PULL_WINDOW = 16
@@ -114,7 +116,9 @@
         """Greet control when it is time, and repeat lost requests."""
         self._begin(now)
         if now >= self._greet_at:
-            self._greet_at = now + GREET_PERIOD
+            informed = self._is_informed()
+            period = GREET_PERIOD if informed else START_GREET_PERIOD
+            self._greet_at = now + period
             self._expire()
             self._greet()
         pull = self._pull
@@ -124,6 +128,15 @@
 
     # Greetings
 
+    def _is_informed(self) -> bool:
+        """Return whether the node could do its work if control failed."""
+        match self._role:
+            case messages.Role.ENTRY:
+                return self.newest.version > 0
+            case messages.Role.AGENT:
+                return bool(self._entries)
+        return True
+
     def _greet(self) -> None:
         for control in self._controls:
             listing = self._listings.get(control)
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -159,6 +159,7 @@
             seen=loaded.seen,
             seed=self.generator,
             now=self.now,
+            commit=loaded.commit,
         )
 
     def _build_joining(self) -> joining.Joining | None:
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -142,6 +142,16 @@
                 self.assertEqual(read(group), build(3))
                 self.assertEqual(self.count_voters(group), VOTERS)
 
+    def test_a_start_knows_what_was_committed_before(self) -> None:
+        group = self.build_group(0)
+        for version in (3, 4):
+            declare(group, build(version))
+        for member in group.members:
+            group.crash(member)
+            group.start(member)
+            assert member.decisions is not None
+            self.assertGreaterEqual(member.decisions.declaration.version, 3)
+
     def test_a_member_gone_for_good_is_replaced(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed):
--- a/tests/passthrough/test_contact.py
+++ b/tests/passthrough/test_contact.py
@@ -106,6 +106,16 @@
         nodes.run(1200)
         self.assertEqual(nodes.nodes[ENTRY].newest, build_routing(3))
 
+    def test_a_start_asks_often_until_it_knows_a_routing(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        nodes.down.update(CONTROLS)
+        nodes.run(1000)
+        nodes.down.clear()
+        nodes.publish(build_routing(3))
+        nodes.run(150)
+        self.assertEqual(nodes.nodes[ENTRY].newest.version, 3)
+        self.assertEqual(nodes.nodes[AGENT].entries, (ENTRY,))
+
     def test_other_seeds_are_taken(self) -> None:
         nodes = Nodes(CONTROLS[:1], 0)
         nodes.down.add(CONTROLS[0])
