--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -26,8 +26,9 @@
 FLOW_IDLE_LIMIT = datetime.timedelta(seconds=60)
 # Sends of one agent a second that announcements may cost: with more entries
 # the period grows.
-MAX_ANNOUNCEMENTS_PER_S = 100
+MAX_ANNOUNCEMENTS_PER_S = 50
 MAX_PENDING = 4_096
+MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_TAG = 0xFFFF_FFFF
 
 
@@ -362,17 +363,17 @@
             self._announce()
 
     def _announce(self) -> None:
-        period = ANNOUNCE_PERIOD.total_seconds()
-        floor = len(self._entries) / MAX_ANNOUNCEMENTS_PER_S
-        self._announce_at = self._now + datetime.timedelta(
-            seconds=max(period, floor)
-        )
+        self._announce_at = self._now + self._compute_period()
         self._announced = self._target.read_state(self._now)
         self._sequence += 1
         announcement = self._build_announcement()
         for entry in self._entries:
             self._send(entry, announcement)
 
+    def _compute_period(self) -> datetime.timedelta:
+        floor = len(self._entries) / MAX_ANNOUNCEMENTS_PER_S
+        return max(ANNOUNCE_PERIOD, datetime.timedelta(seconds=floor))
+
     def _build_announcement(self) -> messages.Announcement:
         report = self._target.report
         return messages.Announcement(
@@ -387,6 +388,7 @@
             running=self.flows.running_count,
             warmup_ms=report.warmup_ms if report else 0,
             stopping=self._stopping,
+            period_ms=self._compute_period() // MILLISECOND,
         )
 
     # Output
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -106,6 +106,7 @@
         running: requests that wait for the first byte of their answer.
         warmup_ms: how much longer the target is slow after its start.
         stopping: the agent's process is about to end.
+        period_ms: time until the next announcement at the latest.
     """
 
     agent: str
@@ -119,6 +120,7 @@
     running: int = 0
     warmup_ms: int = 0
     stopping: bool = False
+    period_ms: int = 200
 
 
 class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -14,8 +14,9 @@
 from egretfork import model
 from egretfork.passthrough import messages
 
-# Five missed announcements.
-SILENCE_MAX = datetime.timedelta(milliseconds=1000)
+# An agent is heard while fewer announcements than this are missed.
+MISSED_MAX = 4
+SILENCE_MIN = datetime.timedelta(milliseconds=800)
 # A request that waits counts as this many open flows.
 RUNNING_WEIGHT = 2.0
 # A target that has just started takes this much longer for a request.
@@ -45,6 +46,11 @@
         self.heard_at = now
         self.placed = 0
 
+    def is_heard(self, now: datetime.timedelta) -> bool:
+        """Return whether announcements of the agent still arrive."""
+        period = datetime.timedelta(milliseconds=self.announcement.period_ms)
+        return now - self.heard_at < max(SILENCE_MIN, MISSED_MAX * period)
+
 
 def choose_agent(
     agents: list[AgentView],
@@ -60,7 +66,7 @@
         flow_hash: decides between equals, the same on every entry.
     """
     able = [agent for agent in agents if is_able(agent)]
-    heard = [agent for agent in able if now - agent.heard_at < SILENCE_MAX]
+    heard = [agent for agent in able if agent.is_heard(now)]
     return min(
         heard or able,
         key=lambda agent: (
