Let entries and agents find each other at once after a start

Control tells agents of new entries, agents announce themselves to them at once, waiting packets are offered to agents that announce late, and an agent that stops for 3 s counts as gone.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -163,9 +163,17 @@
         self._announce()
         return self._actions
 
-    def set_entries(self, entries: tuple[model.Endpoint, ...]) -> None:
-        """Take the entries that announcements go to."""
+    def handle_entries(
+        self, entries: tuple[model.Endpoint, ...], now: datetime.timedelta
+    ) -> list[actions.Action]:
+        """Take the entries; announce the target to new ones at once."""
+        self._begin(now)
+        if entries == self._entries:
+            return self._actions
+        added = set(entries) - set(self._entries)
         self._entries = entries
+        self._announce_to(tuple(sorted(added)))
+        return self._actions
 
     def read_state(self, now: datetime.timedelta) -> messages.TargetState:
         """Return the state of the target."""
@@ -364,10 +372,13 @@
 
     def _announce(self) -> None:
         self._announce_at = self._now + self._compute_period()
+        self._announce_to(self._entries)
+
+    def _announce_to(self, entries: tuple[model.Endpoint, ...]) -> None:
         self._announced = self._target.read_state(self._now)
         self._sequence += 1
         announcement = self._build_announcement()
-        for entry in self._entries:
+        for entry in entries:
             self._send(entry, announcement)
 
     def _compute_period(self) -> datetime.timedelta:
--- a/src/egretfork/passthrough/directory.py
+++ b/src/egretfork/passthrough/directory.py
@@ -15,8 +15,8 @@
 from egretfork.passthrough import messages
 from egretfork.passthrough import routing
 
-# Four missed greetings of an entry.
-ENTRY_SILENCE_LIMIT = datetime.timedelta(seconds=3)
+# Missed greetings after which a node is no longer listed.
+SILENCE_LIMIT = datetime.timedelta(seconds=3)
 PIECE_BYTES = 1_100
 
 
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self._controls: tuple[model.Endpoint, ...] = ()
         self._entries: dict[model.Endpoint, datetime.timedelta] = {}
+        self._agents: dict[model.Endpoint, datetime.timedelta] = {}
         self._listed: tuple[model.Endpoint, ...] = ()
         self._version = 0
         self._packed = b""
@@ -40,7 +41,7 @@
         """Process a message of a node."""
         match message:
             case messages.Greeting():
-                return [self._answer_greeting(message, peer, now)]
+                return self._answer_greeting(message, peer, now)
             case messages.PieceRequest():
                 return self._answer_piece(message, peer)
         return []
@@ -60,34 +61,40 @@
             self._controls = controls
             self._update_checksum()
 
-    def handle_tick(self, now: datetime.timedelta) -> None:
-        """Forget entries that have been silent for long."""
-        self._entries = {
-            entry: heard_at
-            for entry, heard_at in self._entries.items()
-            if now - heard_at < ENTRY_SILENCE_LIMIT
-        }
+    def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
+        """Forget silent nodes; tell agents when the entries change."""
+        self._entries = _drop_silent(self._entries, now)
+        self._agents = _drop_silent(self._agents, now)
         listed = tuple(sorted(self._entries))
-        if listed != self._listed:
-            self._listed = listed
-            self._update_checksum()
+        if listed == self._listed:
+            return []
+        self._listed = listed
+        self._update_checksum()
+        news = self._build_listing()
+        return [actions.SendMessage(agent, news) for agent in self._agents]
 
     def _answer_greeting(
         self,
         message: messages.Greeting,
         peer: model.Endpoint,
         now: datetime.timedelta,
-    ) -> actions.Action:
+    ) -> list[actions.Action]:
+        news: list[actions.Action] = []
         if message.role is messages.Role.ENTRY:
             self._entries[peer] = now
-            self.handle_tick(now)
+            news = self.handle_tick(now)
+        elif message.role is messages.Role.AGENT:
+            self._agents[peer] = now
         if message.directory == self._checksum:
             answer = messages.Directory(self._version, self._checksum)
         else:
-            answer = messages.Directory(
-                self._version, self._checksum, self._controls, self._listed
-            )
-        return actions.SendMessage(peer, answer)
+            answer = self._build_listing()
+        return [actions.SendMessage(peer, answer), *news]
+
+    def _build_listing(self) -> messages.Directory:
+        return messages.Directory(
+            self._version, self._checksum, self._controls, self._listed
+        )
 
     def _answer_piece(
         self, message: messages.PieceRequest, peer: model.Endpoint
@@ -109,6 +116,16 @@
         self._checksum = zlib.crc32(content)
 
 
+def _drop_silent(
+    nodes: dict[model.Endpoint, datetime.timedelta], now: datetime.timedelta
+) -> dict[model.Endpoint, datetime.timedelta]:
+    return {
+        node: heard_at
+        for node, heard_at in nodes.items()
+        if now - heard_at < SILENCE_LIMIT
+    }
+
+
 def pack_routing(newest: routing.Routing) -> bytes:
     """Encode and compress a routing."""
     return zlib.compress(msgspec.msgpack.encode(newest))
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -24,6 +24,8 @@
 MAX_HINTS = 100_000
 MAX_SEARCHES = 4_096
 AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
+# An agent that stops and does not start again is gone with its target.
+STOPPING_SILENCE_LIMIT = datetime.timedelta(seconds=3)
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
 # After this time every agent that runs has announced itself.
@@ -316,6 +318,13 @@
             self._send(address, messages.Find(packet.flow, announced))
         self._log("search_started", packet.flow, f"asked={len(asked)}")
 
+    def _ask_late_agent(self, agent: model.Endpoint) -> None:
+        """Ask an agent that was not known when searches began."""
+        for flow, found in self._searches.items():
+            if found.waiting and not found.tried:
+                found.unanswered.add(agent)
+                self._send(agent, messages.Find(flow, found.service))
+
     def _note_found(
         self, message: messages.Found, peer: model.Endpoint
     ) -> None:
@@ -366,12 +375,15 @@
         self, flow: packets.FlowKey, found: search.Search
     ) -> None:
         found.concluded = True
-        found.waiting.clear()
         detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
         self._log("search_failed", flow, detail)
         self._count(reasons.Drop.NO_TARGETS)
         all_known = self._now - self._started_at >= AGENTS_KNOWN_AFTER
-        if all_known and found.is_held_nowhere():
+        if not all_known:
+            # An agent may still announce itself and take what waits.
+            return
+        found.waiting.clear()
+        if found.is_held_nowhere():
             self._reset(flow, found.acknowledged)
 
     def _reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
@@ -432,6 +444,7 @@
             view = placement.AgentView(peer, message, self._now)
             self._agents[peer] = view
             self._log_agent(peer, message)
+            self._ask_late_agent(peer)
             return
         before = known.announcement
         order = (message.incarnation, message.sequence)
@@ -461,7 +474,7 @@
         silent = [
             address
             for address, agent in self._agents.items()
-            if self._now - agent.heard_at >= AGENT_SILENCE_LIMIT
+            if self._now - agent.heard_at >= _limit_silence(agent)
         ]
         for address in silent:
             del self._agents[address]
@@ -516,3 +529,9 @@
                 "agent_state", "follow agents", str(address), detail
             )
         )
+
+
+def _limit_silence(agent: placement.AgentView) -> datetime.timedelta:
+    if agent.announcement.stopping:
+        return STOPPING_SILENCE_LIMIT
+    return AGENT_SILENCE_LIMIT
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -120,7 +120,7 @@
         count = 0
         while not self.should_stop:
             now = self._time.now()
-            self._core.handle_tick(now)
+            self._output.carry_out(self._core.handle_tick(now))
             self._output.carry_out(self._contact.handle_tick(now))
             if self._control is not None:
                 self._follow_members(self._control)
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -283,7 +283,10 @@
 
     def follow_contact(self) -> None:
         """Announce to the entries that control lists."""
-        self._core.set_entries(self.contact.entries)
+        now = self.time.now()
+        self._output.carry_out(
+            self._core.handle_entries(self.contact.entries, now)
+        )
 
     def on_tick(self) -> None:
         """Let time pass in the core."""
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -155,6 +155,7 @@
         self.agents: dict[int, agent.AgentCore] = {}
         self.services = services
         self.targets = [FakeTarget() for _ in services]
+        self._routing = routing.Routing()
         self.to_callers: list[WirePacket] = []
         self.unreachable: set[model.Endpoint] = set()
         self._sequence = 0
@@ -166,10 +167,14 @@
         started_ms = int(self.now / at(1))
         identity = agent.AgentIdentity(f"agent-{number}", "zone-a", started_ms)
         core = agent.AgentCore(identity, FakeCodec(), LEASE, self.now)
-        core.set_entries(
-            tuple(entry_address(i) for i in range(len(self.entries)))
-        )
         self.agents[number] = core
+        self.list_entries(number)
+
+    def list_entries(self, number: int) -> None:
+        """Tell an agent of all entries."""
+        addresses = tuple(entry_address(i) for i in range(len(self.entries)))
+        wanted = self.agents[number].handle_entries(addresses, self.now)
+        self._carry_out(wanted, agent_address(number))
 
     def stop_agent(self, number: int) -> None:
         """Stop an agent for good."""
@@ -200,9 +205,16 @@
 
     def route(self, newest: routing.Routing) -> None:
         """Put a routing in force on all entries."""
+        self._routing = newest
         for core in self.entries:
             core.handle_routing(newest, self.now)
 
+    def add_entry(self) -> None:
+        """Start another entry, which no agent has heard of."""
+        core = entry.EntryCore("zone-a", FakeCodec(), self.now)
+        core.handle_routing(self._routing, self.now)
+        self.entries.append(core)
+
     def send(self, number: int, packet: WirePacket) -> None:
         """Let a caller's packet arrive at an entry."""
         wanted = self.entries[number].handle_packet(encode(packet), self.now)
@@ -245,6 +257,8 @@
         decoded = messages.decode(messages.encode(action.message), "")
         assert not isinstance(decoded, reasons.Failure)
         number = action.peer.port
+        if action.peer.host == AGENT_HOST and number not in self.agents:
+            return
         core: agent.AgentCore | entry.EntryCore = (
             self.entries[number]
             if action.peer.host == ENTRY_HOST
--- a/tests/passthrough/test_contact.py
+++ b/tests/passthrough/test_contact.py
@@ -67,8 +67,8 @@
             self.now += support.at(50)
             for address, node in self.nodes.items():
                 self.carry_out(node.handle_tick(self.now), address)
-            for core in self.controls.values():
-                core.handle_tick(self.now)
+            for address, core in self.controls.items():
+                self.carry_out(core.handle_tick(self.now), address)
 
     def carry_out(
         self, wanted: list[actions.Action], source: model.Endpoint
@@ -163,6 +163,14 @@
         nodes.nodes[AGENT].handle_tick(nodes.now)
         self.assertEqual(nodes.nodes[AGENT].entries, (ENTRY,))
 
+    def test_agents_hear_of_a_new_entry_at_once(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        entry = nodes.nodes.pop(ENTRY)
+        nodes.run(1200)
+        nodes.nodes[ENTRY] = entry
+        nodes.carry_out(entry.handle_tick(nodes.now), ENTRY)
+        self.assertEqual(nodes.nodes[AGENT].entries, (ENTRY,))
+
     def test_a_silent_entry_is_forgotten(self) -> None:
         nodes = Nodes(CONTROLS, 0)
         nodes.run(1200)
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -131,6 +131,31 @@
         kinds = {packet.kind for packet in network.to_callers}
         self.assertNotIn("reset", kinds)
 
+    def test_a_packet_waits_until_the_holder_announces_itself(self) -> None:
+        network = start(entries=1)
+        holder = open_flow(network)
+        network.add_entry()
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(len(network.targets[holder].taken), 1)
+        for number in network.agents:
+            network.list_entries(number)
+        self.assertEqual(len(network.targets[holder].taken), 2)
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_a_stopped_agent_counts_as_gone_after_a_while(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.stop_agent(holder)
+        network.targets[holder].held.clear()
+        network.advance(2500)
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        network.advance(300)
+        kinds = {packet.kind for packet in network.to_callers}
+        self.assertNotIn("reset", kinds)
+        network.advance(1000)
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
     def test_a_hint_to_an_agent_that_is_gone_is_dropped(self) -> None:
         network = start()
         holder = open_flow(network)
