--- a/src/egretfork/actions.py
+++ b/src/egretfork/actions.py
@@ -1,30 +1,27 @@
 """Actions that cores of all roles return to their shells."""
 
-import dataclasses
+import msgspec
 
 from egretfork import model
 from egretfork import reasons
 from egretfork import wire
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendMessage:
+class SendMessage(msgspec.Struct, frozen=True):
     """Send a message to a process of the system by UDP."""
 
     peer: model.Endpoint
     message: wire.Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToCaller:
+class SendToCaller(msgspec.Struct, frozen=True):
     """Send a datagram to the caller of a flow (entry only)."""
 
     flow: wire.FlowKey
     payload: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToTarget:
+class SendToTarget(msgspec.Struct, frozen=True):
     """Send a CoAP datagram to the agent's own target (agent only).
 
     Attributes:
@@ -36,15 +33,13 @@
     peer: model.Endpoint | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CountReason:
+class CountReason(msgspec.Struct, frozen=True):
     """Count one refusal, drop, retry or unknown outcome."""
 
     reason: reasons.Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogEvent:
+class LogEvent(msgspec.Struct, frozen=True):
     """Write a structured log line.
 
     Attributes:
--- a/src/egretfork/passthrough/actions.py
+++ b/src/egretfork/passthrough/actions.py
@@ -1,8 +1,9 @@
 """Actions that the cores of passed-through flows return to their shells."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from egretfork import actions
 from egretfork import metrics
 from egretfork import model
@@ -10,31 +11,27 @@
 from egretfork.passthrough import packets
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendMessage:
+class SendMessage(msgspec.Struct, frozen=True):
     """Send a message to a process of the system by UDP."""
 
     peer: model.Endpoint
     message: messages.Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToCaller:
+class SendToCaller(msgspec.Struct, frozen=True):
     """Send a packet to the caller of a flow."""
 
     flow: packets.FlowKey
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToTarget:
+class SendToTarget(msgspec.Struct, frozen=True):
     """Send a packet to the agent's own target."""
 
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ObserveLatency:
+class ObserveLatency(msgspec.Struct, frozen=True):
     """Count one duration."""
 
     kind: metrics.Latency
--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -7,9 +7,10 @@
 """
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
+
 from egretfork import actions as common
 from egretfork import metrics
 from egretfork import model
@@ -32,8 +33,7 @@
 MAX_TAG = 0xFFFF_FFFF
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AgentIdentity:
+class AgentIdentity(msgspec.Struct, frozen=True):
     """Who the agent is.
 
     Attributes:
@@ -45,8 +45,7 @@
     incarnation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PendingReturn:
+class _PendingReturn(msgspec.Struct, frozen=True):
     """A delivered packet that the target may still return."""
 
     entry: model.Endpoint
@@ -294,7 +293,7 @@
             self._count(reasons.Drop.UNMATCHED_ANSWER)
             return
         self.flows.remove(packet.flow)
-        original = dataclasses.replace(
+        original = msgspec.structs.replace(
             packet, data=self._codec.restore(packet.data)
         )
         if pending.opens:
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -5,10 +5,11 @@
 as long as one answers.
 """
 
-import dataclasses
 import datetime
 import itertools
 
+import msgspec
+
 from egretfork import actions as common
 from egretfork import model
 from egretfork.passthrough import actions
@@ -29,8 +30,7 @@
 MAX_CONTROLS = 16
 
 
-@dataclasses.dataclass(slots=True)
-class Pull:
+class Pull(msgspec.Struct):
     """Transfer of a routing in progress.
 
     Attributes:
@@ -43,7 +43,7 @@
     asked_at: datetime.timedelta
     size: int = 0
     attempts: int = 0
-    pieces: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    pieces: dict[int, bytes] = msgspec.field(default_factory=dict)
 
     def list_missing(self) -> list[int]:
         """Return the offsets of the next pieces to ask for."""
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -6,9 +6,10 @@
 """
 
 import collections
-import dataclasses
 import datetime
 
+import msgspec
+
 from egretfork import actions as common
 from egretfork import metrics
 from egretfork import model
@@ -34,8 +35,7 @@
 READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
 
 
-@dataclasses.dataclass(slots=True)
-class Hint:
+class Hint(msgspec.Struct):
     """Where an entry sends the packets of a flow.
 
     Attributes:
@@ -48,7 +48,7 @@
     agent: model.Endpoint
     opened: bool
     used_at: datetime.timedelta
-    offered: list[model.Endpoint] = dataclasses.field(default_factory=list)
+    offered: list[model.Endpoint] = msgspec.field(default_factory=list)
 
 
 class EntryCore:
--- a/src/egretfork/passthrough/flowtable.py
+++ b/src/egretfork/passthrough/flowtable.py
@@ -1,10 +1,11 @@
 """Flows that an agent's target holds, learned from their packets."""
 
 import collections
-import dataclasses
 import datetime
 import enum
 
+import msgspec
+
 from egretfork import model
 from egretfork.passthrough import packets
 
@@ -21,8 +22,7 @@
     CLOSED = 3
 
 
-@dataclasses.dataclass(slots=True)
-class HeldFlow:
+class HeldFlow(msgspec.Struct):
     """One flow of the target.
 
     Attributes:
--- a/src/egretfork/passthrough/packets.py
+++ b/src/egretfork/passthrough/packets.py
@@ -4,7 +4,6 @@
 translates it into what decisions need.
 """
 
-import dataclasses
 import ipaddress
 import typing
 
@@ -46,8 +45,7 @@
     port: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Packet:
+class Packet(msgspec.Struct, frozen=True):
     """What decisions need to know of one packet.
 
     Attributes:
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -6,9 +6,9 @@
 target that was the least loaded when it began.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
 import xxhash
 
 from egretfork import model
@@ -25,8 +25,7 @@
 ZONE_COST = 0.75
 
 
-@dataclasses.dataclass(slots=True)
-class AgentView:
+class AgentView(msgspec.Struct):
     """What an entry knows of one agent.
 
     Attributes:
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -8,9 +8,10 @@
 """
 
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from egretfork import model
 from egretfork.passthrough import messages
 
@@ -25,8 +26,7 @@
 MAX_WAITING = 32
 
 
-@dataclasses.dataclass(slots=True)
-class Search:
+class Search(msgspec.Struct):
     """One search in progress or just concluded.
 
     Attributes:
@@ -45,8 +45,8 @@
     acknowledged: int
     wide: bool
     tried: bool = False
-    unsure: set[model.Endpoint] = dataclasses.field(default_factory=set)
-    waiting: list[bytes] = dataclasses.field(default_factory=list)
+    unsure: set[model.Endpoint] = msgspec.field(default_factory=set)
+    waiting: list[bytes] = msgspec.field(default_factory=list)
     concluded: bool = False
 
     def add_packet(self, data: bytes) -> bool:
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -5,18 +5,18 @@
 flow is opened there until it reports again.
 """
 
-import dataclasses
 import datetime
 import enum
 
+import msgspec
+
 from egretfork.passthrough import messages
 
 # Time that a target needs at most to end once it has signed off.
 END_MAX = datetime.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True):
     """What a target says of itself.
 
     Attributes:
--- a/src/egretfork/reasons.py
+++ b/src/egretfork/reasons.py
@@ -1,8 +1,9 @@
 """Reasons of refusals, drops and retries, and the error sentinel."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Drop(enum.StrEnum):
     """Why a datagram was discarded without an answer."""
@@ -80,8 +81,7 @@
 Reason = Drop | Refusal | Unknown | Retry | ControlRefusal
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """Sentinel returned in place of a result.
 
     Attributes:
--- a/src/egretfork/webserver.py
+++ b/src/egretfork/webserver.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import logging
 
 import h11
 import mode
+import msgspec
 
 from egretfork import logs
 from egretfork import model
@@ -22,8 +22,7 @@
 BACKLOG = 128
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """One request with its whole body."""
 
     method: str
@@ -31,8 +30,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """Status, body and an address for the client to go to instead."""
 
     status: int
