Tell callers of a crashed target at once

Cause: callers of a target that crashed waited for their deadlines; agents learned of its end with the report of its successor, seconds later, and reset a flow only at its caller's next packet.

--- a/src/egretfork/document.py
+++ b/src/egretfork/document.py
@@ -79,7 +79,9 @@
     content = settings.parse(text, Document, path)
     if isinstance(content, reasons.Failure):
         detail = content.detail + _describe_line(text, content.detail)
-        return msgspec.structs.replace(content, step="check file", detail=detail)
+        return msgspec.structs.replace(
+            content, step="check file", detail=detail
+        )
     problem = check_services(content.services)
     if problem:
         line = _describe_line(text, problem)
--- a/src/egretfork/passthrough/actions.py
+++ b/src/egretfork/passthrough/actions.py
@@ -31,6 +31,10 @@
     data: bytes
 
 
+class ProbeTarget(msgspec.Struct, frozen=True):
+    """Find out whether anything listens at the target's address."""
+
+
 class ObserveLatency(msgspec.Struct, frozen=True):
     """Count one duration."""
 
@@ -42,6 +46,7 @@
     SendMessage
     | SendToCaller
     | SendToTarget
+    | ProbeTarget
     | ObserveLatency
     | actions.CountReason
     | actions.LogEvent
--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -18,6 +18,7 @@
 from egretfork.passthrough import flowtable
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
 from egretfork import reasons
 
@@ -73,6 +74,7 @@
             collections.OrderedDict()
         )
         self._next_tag = 1
+        self._suspicion = suspicion.Suspicion()
         self._sequence = 0
         self._announce_at = now
         self._announced = messages.TargetState.UNKNOWN
@@ -102,6 +104,7 @@
     ) -> list[actions.Action]:
         """Process a packet that the target sent or returned."""
         self._begin(now)
+        self._suspicion.note_heard()
         packet = self._codec.read_from_target(data)
         if isinstance(packet, reasons.Failure):
             self._count(reasons.Drop.MALFORMED)
@@ -150,11 +153,32 @@
             self._knows_all_flows = True
         if self._target.has_ended(now) and len(self.flows):
             self._end_flows("target ended", "")
+        if self._suspicion.is_probe_due(self._target.read_state(now), now):
+            self._actions.append(actions.ProbeTarget())
         if now >= self._announce_at:
             self._announce()
         self._announce_change()
         return self._actions
 
+    def handle_probe(
+        self, listening: bool, now: datetime.timedelta
+    ) -> list[actions.Action]:
+        """Process whether anything listens at the target's address."""
+        self._begin(now)
+        if not self._suspicion.note_probe(listening):
+            return self._actions
+        self._actions.append(
+            common.LogEvent(
+                "target_dead",
+                "follow target",
+                detail=f"nothing listens, report={self._describe_report()}",
+            )
+        )
+        self._target.note_death()
+        self._end_flows("target dead", "")
+        self._announce_change()
+        return self._actions
+
     def handle_stop(self, now: datetime.timedelta) -> list[actions.Action]:
         """Tell all entries that the process ends."""
         self._begin(now)
@@ -231,6 +255,7 @@
     ) -> None:
         if packet.payload_bytes and held.running_since is None:
             self.flows.set_running(held, self._now)
+        held.acknowledged = packet.acknowledged
         if packet.finishes:
             held.caller_finished = True
         if packet.resets:
@@ -255,6 +280,7 @@
     ) -> None:
         tag = self._next_tag
         self._next_tag = tag % MAX_TAG + 1
+        self._suspicion.note_sent(self._now)
         self._pending[tag] = _PendingReturn(entry, packet.opens)
         if len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
@@ -282,8 +308,11 @@
         if packet.resets:
             return
         self._log("flow_reset", packet.flow, "the target has ended")
-        data = self._codec.build_reset(packet.flow, packet.acknowledged)
-        self._actions.append(actions.SendToCaller(packet.flow, data))
+        self._send_reset(packet.flow, packet.acknowledged)
+
+    def _send_reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
+        data = self._codec.build_reset(flow, acknowledged)
+        self._actions.append(actions.SendToCaller(flow, data))
 
     # Packets of the target
 
@@ -356,12 +385,18 @@
             self.flows.set_stage(held, flowtable.Stage.CLOSED)
 
     def _end_flows(self, cause: str, identifier: str) -> None:
-        count = self.flows.end_all()
-        if count:
-            detail = f"{cause} identifier={identifier} flows={count}"
-            self._actions.append(
-                common.LogEvent("flows_ended", "follow target", detail=detail)
-            )
+        ended = self.flows.end_all()
+        if not ended:
+            return
+        detail = f"{cause} identifier={identifier} flows={len(ended)}"
+        self._actions.append(
+            common.LogEvent("flows_ended", "follow target", detail=detail)
+        )
+        # Callers open other flows at once, instead of sending their next
+        # request on one that nobody answers.
+        for flow, held in ended.items():
+            if held.stage is flowtable.Stage.OPEN:
+                self._send_reset(flow, held.acknowledged)
 
     # Announcements
 
--- a/src/egretfork/passthrough/flowtable.py
+++ b/src/egretfork/passthrough/flowtable.py
@@ -30,6 +30,7 @@
         used_at: instant of its newest packet.
         running_since: instant from which a request waits for the first
             byte of its answer; none if there is no such request.
+        acknowledged: number that the caller expects next.
         caller_finished: the caller has no more data.
         target_finished: the target has no more data.
     """
@@ -38,6 +39,7 @@
     entry: model.Endpoint
     used_at: datetime.timedelta
     running_since: datetime.timedelta | None = None
+    acknowledged: int = 0
     caller_finished: bool = False
     target_finished: bool = False
 
@@ -118,20 +120,20 @@
             self.open_count -= _is_counted(flow.stage)
             self.running_count -= flow.running_since is not None
 
-    def end_all(self) -> int:
-        """Note that the target has lost all flows; return how many."""
-        ended = [
-            key
+    def end_all(self) -> dict[packets.FlowKey, HeldFlow]:
+        """Note that the target has lost all flows; return those it held."""
+        ended = {
+            key: flow
             for key, flow in self._flows.items()
             if flow.stage is not Stage.TRIED
-        ]
+        }
         self._ended.update(dict.fromkeys(ended))
         while len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
         self._flows.clear()
         self.open_count = 0
         self.running_count = 0
-        return len(ended)
+        return ended
 
     def expire(self, now: datetime.timedelta) -> None:
         """Forget flows that have been unused for the idle limit."""
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -24,6 +24,7 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.03
+PROBE_LIMIT_S = 0.5
 
 # Messages that control sends to a node; all others come from nodes.
 CONTROL_MESSAGES = (messages.Directory, messages.Piece)
@@ -46,6 +47,7 @@
         caller_port: int,
         target_address: model.Endpoint | None = None,
         send_to_target: Send | None = None,
+        probe_target: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._registry = registry
         self._send_message = send_message
@@ -53,6 +55,7 @@
         self._caller_port = caller_port
         self._target_address = target_address
         self._send_to_target = send_to_target
+        self._probe_target = probe_target
 
     def carry_out(
         self, wanted: collections.abc.Iterable[actions.Action]
@@ -74,6 +77,8 @@
             case actions.SendToTarget():
                 if self._send_to_target and self._target_address:
                     self._send_to_target(action.data, self._target_address)
+            case actions.ProbeTarget():
+                self._probe_target()
             case actions.ObserveLatency():
                 self._registry.observe(action.kind, action.duration)
             case common.CountReason():
@@ -241,7 +246,10 @@
             caller_port,
             target_address,
             self._outbound.send,
+            self._start_probe,
         )
+        self._target_address = target_address
+        self._probing = False
 
     async def on_start(self) -> None:
         """Open both sockets.
@@ -256,6 +264,20 @@
         """Tell the entries that the process ends."""
         self._output.carry_out(self._core.handle_stop(self.time.now()))
 
+    def _start_probe(self) -> None:
+        if not self._probing:
+            self._probing = True
+            self.add_future(self._probe())
+
+    async def _probe(self) -> None:
+        """Connect to the target; only a refusal shows that it is dead."""
+        try:
+            listening = await _is_listening(self._target_address)
+        finally:
+            self._probing = False
+        now = self.time.now()
+        self._output.carry_out(self._core.handle_probe(listening, now))
+
     def note_report(self, report: target.Report) -> None:
         """Take a report of the target."""
         self._output.carry_out(
@@ -293,5 +315,19 @@
         self._output.carry_out(self._core.handle_tick(self.time.now()))
 
 
+async def _is_listening(address: model.Endpoint) -> bool:
+    try:
+        async with asyncio.timeout(PROBE_LIMIT_S):
+            _, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+    except ConnectionRefusedError:
+        return False
+    except (OSError, TimeoutError):
+        return True
+    writer.close()
+    return True
+
+
 def _refuse_send(data: bytes, peer: model.Endpoint) -> None:
     raise RuntimeError("contact with control sends messages only")
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -56,6 +56,7 @@
         self._report: Report | None = None
         self._reported_at = datetime.timedelta()
         self._gone_at: datetime.timedelta | None = None
+        self._dead = False
 
     @property
     def report(self) -> Report | None:
@@ -74,6 +75,7 @@
         self._report = report
         self._reported_at = now
         self._gone_at = None
+        self._dead = False
         if known is None:
             return Change.FIRST
         if not _is_same_start(known, report) or (
@@ -93,15 +95,21 @@
         self._gone_at = self._gone_at or now
         return True
 
+    def note_death(self) -> None:
+        """Note that nothing listens at the target's address any more."""
+        self._dead = self._report is not None
+
     def has_ended(self, now: datetime.timedelta) -> bool:
-        """Return whether the target signed off and surely has ended."""
-        return self._gone_at is not None and now - self._gone_at >= END_MAX
+        """Return whether the target surely has ended."""
+        if self._gone_at is None:
+            return self._dead
+        return self._dead or now - self._gone_at >= END_MAX
 
     def read_state(self, now: datetime.timedelta) -> messages.TargetState:
         """Return what may be sent to the target at this instant."""
         if self._report is None:
             return messages.TargetState.UNKNOWN
-        if self._gone_at is not None:
+        if self._dead or self._gone_at is not None:
             return messages.TargetState.ENDED
         if self._report.leaving:
             return messages.TargetState.LEAVING
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from egretfork.passthrough import actions
+from egretfork.passthrough import messages
 from tests.passthrough import support
 
 FLOW = support.build_flow(1)
@@ -69,6 +71,26 @@
         kinds = {packet.kind for packet in network.to_callers}
         self.assertNotIn("reset", kinds)
 
+    def test_callers_of_a_dead_target_are_told_at_once(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.send(0, support.WirePacket(FLOW, "data", 1, acknowledged=9))
+        core = network.agents[holder]
+        self.assertEqual(core.handle_probe(False, network.now), [])
+        wanted = core.handle_probe(False, network.now)
+        resets = [a for a in wanted if isinstance(a, actions.SendToCaller)]
+        self.assertEqual([action.flow for action in resets], [FLOW])
+        state = core.read_state(network.now)
+        self.assertIs(state, messages.TargetState.ENDED)
+
+    def test_a_dead_target_that_reports_again_is_used(self) -> None:
+        network = start((support.SERVICE,), 1)
+        core = network.agents[0]
+        core.handle_probe(False, network.now)
+        core.handle_probe(False, network.now)
+        network.advance(100)
+        open_flow(network)
+
     def test_a_flow_stays_at_a_service_that_lost_its_route(self) -> None:
         network = start(("old", "old", "new"))
         network.route(support.build_routing(2, "old"))
