Give up the flows of an agent that is silent for longer than a restart

An entry resets such flows after 2 s of the agent's silence, and no longer asks silent agents; a pause of the entry itself does not count as silence.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -25,8 +25,11 @@
 MAX_HINTS = 100_000
 MAX_SEARCHES = 4_096
 AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
-# An agent that stops and does not start again is gone with its target.
-STOPPING_SILENCE_LIMIT = datetime.timedelta(seconds=3)
+# An agent that restarts is heard again within this time; the flows of one
+# that is not are given up.
+AGENT_LOST_AFTER = datetime.timedelta(seconds=2)
+# A longer pause between two ticks means that the entry itself stood still.
+PAUSE_LIMIT = datetime.timedelta(milliseconds=500)
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
 # After this time every agent that runs has announced itself.
@@ -70,6 +73,8 @@
         )
         self._searches: dict[packets.FlowKey, search.Search] = {}
         self._started_at = now
+        self._ticked_at = now
+        self._resumed_at = now
         self._now = now
         self._actions: list[actions.Action] = []
 
@@ -135,6 +140,7 @@
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
         """Conclude searches and expire what is no longer needed."""
         self._begin(now)
+        self._note_pause()
         for flow, found in list(self._searches.items()):
             if found.is_forgotten(now):
                 del self._searches[flow]
@@ -166,10 +172,14 @@
         hint = self._find_hint(packet.flow)
         if packet.opens:
             self._open(packet, route, hint)
-        elif hint is not None:
-            self._forward(packet, hint)
-        else:
+        elif hint is None:
             self._search_for(packet, route)
+        elif self._is_lost(hint.agent):
+            del self._hints[packet.flow]
+            reason = f"agent_silent agent={hint.agent}"
+            self._reset(packet.flow, packet.acknowledged, reason)
+        else:
+            self._forward(packet, hint)
 
     def _find_hint(self, flow: packets.FlowKey) -> Hint | None:
         """Return the hint of a flow unless its agent is gone for good."""
@@ -306,6 +316,7 @@
             for agent in self._agents.values()
             if (wide or agent.announcement.service in services)
             and agent.address not in without
+            and not self._is_lost(agent.address)
         }
         service = routing.choose_service(route, packet.flow)
         started = search.Search(
@@ -384,11 +395,13 @@
             return
         found.waiting.clear()
         if found.is_held_nowhere():
-            self._reset(flow, found.acknowledged)
+            self._reset(flow, found.acknowledged, "held_nowhere")
 
-    def _reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
-        """Tell a caller that no target holds its flow any longer."""
-        self._log("flow_reset", flow, "reason=held_nowhere")
+    def _reset(
+        self, flow: packets.FlowKey, acknowledged: int, reason: str
+    ) -> None:
+        """Tell a caller that its flow is lost."""
+        self._log("flow_reset", flow, f"reason={reason}")
         data = self._codec.build_reset(flow, acknowledged)
         self._actions.append(actions.SendToCaller(flow, data))
 
@@ -432,6 +445,22 @@
 
     # Agents and hints
 
+    def _is_lost(self, address: model.Endpoint) -> bool:
+        """Return whether an agent has been silent for longer than a restart.
+
+        Time in which the entry itself stood still does not count.
+        """
+        agent = self._agents.get(address)
+        if agent is None:
+            return True
+        silent_since = max(agent.heard_at, self._resumed_at)
+        return self._now - silent_since >= AGENT_LOST_AFTER
+
+    def _note_pause(self) -> None:
+        if self._now - self._ticked_at >= PAUSE_LIMIT:
+            self._resumed_at = self._now
+        self._ticked_at = self._now
+
     def _note_announcement(
         self, message: messages.Announcement, peer: model.Endpoint
     ) -> None:
@@ -474,7 +503,7 @@
         silent = [
             address
             for address, agent in self._agents.items()
-            if self._now - agent.heard_at >= _limit_silence(agent)
+            if self._now - agent.heard_at >= AGENT_SILENCE_LIMIT
         ]
         for address in silent:
             del self._agents[address]
@@ -529,9 +558,3 @@
                 "agent_state", "follow agents", str(address), detail
             )
         )
-
-
-def _limit_silence(agent: placement.AgentView) -> datetime.timedelta:
-    if agent.announcement.stopping:
-        return STOPPING_SILENCE_LIMIT
-    return AGENT_SILENCE_LIMIT
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -164,12 +164,35 @@
         self.assertEqual(len(network.targets[holder].taken), 2)
         self.assertEqual(network.to_callers[-1].payload_bytes, 500)
 
+    def test_flows_of_a_lost_agent_are_given_up(self) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.unreachable.add(support.agent_address(holder))
+        network.advance(1500)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        kinds = [packet.kind for packet in network.to_callers]
+        self.assertNotIn("reset", kinds)
+        network.advance(600)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
+    def test_an_entry_that_stood_still_gives_up_no_flow(self) -> None:
+        network = start()
+        open_flow(network)
+        network.now += support.at(8000)
+        core = network.entries[0]
+        core.handle_tick(network.now)
+        packet = support.encode(support.WirePacket(FLOW, "data", 1))
+        wanted = core.handle_packet(packet, network.now)
+        kinds = [type(action) for action in wanted]
+        self.assertNotIn(actions.SendToCaller, kinds)
+
     def test_a_stopped_agent_counts_as_gone_after_a_while(self) -> None:
         network = start()
         holder = open_flow(network)
         network.stop_agent(holder)
         network.targets[holder].held.clear()
-        network.advance(2500)
+        network.advance(1500)
         network.send(1, support.WirePacket(FLOW, "data", 1))
         network.advance(300)
         kinds = {packet.kind for packet in network.to_callers}
