Place flows by what targets did lately and are doing now

A target that rejects closes its flows early, so that it looked idle and drew more. Ruled out: resets of the system's own (none logged), unreachable agents. Announcements carry flows opened lately and those broken off; an agent whose target is busy declines a flow once or twice.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -18,6 +18,7 @@
 from egretfork.passthrough import flowtable
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import recency
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
 from egretfork import reasons
@@ -30,6 +31,8 @@
 # the period grows.
 MAX_ANNOUNCEMENTS_PER_S = 50
 MAX_PENDING = 4_096
+# A flow that the target breaks off counts as this many opened ones.
+BROKEN_OFF_WEIGHT = 4.0
 MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_TAG = 0xFFFF_FFFF
 
@@ -74,6 +77,7 @@
             collections.OrderedDict()
         )
         self._next_tag = 1
+        self._recent = recency.FadingCount(now)
         self._suspicion = suspicion.Suspicion()
         self._sequence = 0
         self._announce_at = now
@@ -211,19 +215,34 @@
         if isinstance(packet, reasons.Failure):
             self._count(reasons.Drop.MALFORMED)
         elif packet.opens:
-            self._open(packet, message.service, entry)
+            insist = message.insist
+            self._open(packet, message.service, entry, insist=insist)
         else:
             self._continue(packet, message.service, entry)
 
+    def _is_busy(self) -> bool:
+        """Return whether another request would have to wait."""
+        report = self._target.report
+        slots = report.slots if report is not None else 1
+        return self.flows.running_count >= slots
+
     def _open(
-        self, packet: packets.Packet, service: str, entry: model.Endpoint
+        self,
+        packet: packets.Packet,
+        service: str,
+        entry: model.Endpoint,
+        *,
+        insist: bool,
     ) -> None:
         refusal = self._target.check_opening(service, self._now)
+        held = self.flows.find(packet.flow)
+        if refusal is None and held is None and not insist and self._is_busy():
+            refusal = messages.DeclineReason.TARGET_BUSY
         if refusal is not None:
             self._decline(packet, refusal, entry)
             return
-        held = self.flows.find(packet.flow)
         if held is None:
+            self._recent.add(1, self._now)
             held = self.flows.add(
                 packet.flow, flowtable.Stage.OPENING, entry, self._now
             )
@@ -354,6 +373,7 @@
         self, packet: packets.Packet, held: flowtable.HeldFlow
     ) -> None:
         if packet.resets:
+            self._recent.add(BROKEN_OFF_WEIGHT, self._now)
             self.flows.set_stage(held, flowtable.Stage.CLOSED)
             return
         if held.stage in (flowtable.Stage.TRIED, flowtable.Stage.OPENING):
@@ -433,6 +453,7 @@
             running=self.flows.running_count,
             warmup_ms=report.warmup_ms if report else 0,
             stopping=self._stopping,
+            recent=round(self._recent.read(self._now), 1),
             period_ms=self._compute_period() // MILLISECOND,
         )
 
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -30,6 +30,8 @@
 AGENT_LOST_AFTER = datetime.timedelta(seconds=2)
 # A longer pause between two ticks means that the entry itself stood still.
 PAUSE_LIMIT = datetime.timedelta(milliseconds=500)
+# Offers after which a flow is opened at a busy target too.
+MAX_BUSY_OFFERS = 3
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
 # After this time every agent that runs has announced itself.
@@ -236,7 +238,10 @@
         )
         self._keep_hint(packet.flow, hint)
         self._log_offer(packet.flow, chosen, hint)
-        self._send(chosen.address, messages.Deliver(service, packet.data))
+        insist = len(hint.offered) >= MAX_BUSY_OFFERS
+        self._send(
+            chosen.address, messages.Deliver(service, packet.data, insist)
+        )
         return True
 
     def _choose(
@@ -276,6 +281,12 @@
             return
         if message.reason is messages.DeclineReason.TARGET_FULL:
             self._refuse(packet)
+        elif message.reason is messages.DeclineReason.TARGET_BUSY:
+            # No other agent takes flows: waiting is better than nothing.
+            self._keep_hint(message.flow, hint)
+            self._send(
+                peer, messages.Deliver(hint.service, message.data, True)
+            )
 
     def _refuse(self, packet: packets.Packet) -> None:
         """Reject a flow that no target can take, before it has opened."""
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -28,10 +28,12 @@
     Attributes:
         service: service that the flow belongs to.
         data: the packet.
+        insist: a new flow is wanted even if the target is busy.
     """
 
     service: str
     data: bytes
+    insist: bool = False
 
 
 class Opened(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -47,6 +49,7 @@
     WRONG_SERVICE = "wrong_service"
     LEAVING = "leaving"
     TARGET_FULL = "target_full"
+    TARGET_BUSY = "target_busy"
 
 
 class Declined(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -106,6 +109,8 @@
         running: requests that wait for the first byte of their answer.
         warmup_ms: how much longer the target is slow after its start.
         stopping: the agent's process is about to end.
+        recent: flows opened lately, and more for each that the target
+            broke off; fades within seconds.
         period_ms: time until the next announcement at the latest.
     """
 
@@ -121,6 +126,7 @@
     warmup_ms: int = 0
     stopping: bool = False
     period_ms: int = 200
+    recent: float = 0.0
 
 
 class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -88,7 +88,7 @@
 def rate_load(agent: AgentView, availability_zone: str) -> float:
     """Return the work of a target for each of its slots."""
     announcement = agent.announcement
-    work = float(announcement.flows + agent.placed)
+    work = announcement.flows + agent.placed + announcement.recent
     work += RUNNING_WEIGHT * announcement.running
     if announcement.warmup_ms:
         work = (work + 1) * COLD_FACTOR
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -123,6 +123,7 @@
     held: set[packets.FlowKey] = dataclasses.field(default_factory=set)
     taken: list[WirePacket] = dataclasses.field(default_factory=list)
     full: bool = False
+    silent: bool = False
 
     def receive(self, data: bytes) -> bytes | None:
         """Take a packet; return what the target sends in response."""
@@ -133,7 +134,7 @@
             return encode(WirePacket(packet.flow, "accept"))
         if packet.flow not in self.held:
             return encode(msgspec.structs.replace(packet, returned=True))
-        if packet.payload_bytes:
+        if packet.payload_bytes and not self.silent:
             return encode(WirePacket(packet.flow, "data", 500))
         return None
 
@@ -220,6 +221,13 @@
         wanted = self.entries[number].handle_packet(encode(packet), self.now)
         self._carry_out(wanted, entry_address(number))
 
+    def break_off(self, number: int, flow: packets.FlowKey) -> None:
+        """Let a target reset a flow."""
+        reset = encode(WirePacket(flow, "reset"))
+        core = self.agents[number]
+        wanted = core.handle_target_packet(reset, self.now)
+        self._carry_out(list(wanted), agent_address(number))
+
     def list_holders(self, flow: packets.FlowKey) -> list[int]:
         """Return the targets that hold a flow."""
         return [
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -274,6 +274,51 @@
         open_flow(network)
         self.assertEqual(network.list_holders(FLOW), [2])
 
+    def keep_busy(self, network: support.Network, number: int) -> None:
+        """Let requests wait at a target until all its slots are taken."""
+        network.targets[number].silent = True
+        for index in range(2):
+            flow = support.build_flow(900 + 10 * number + index)
+            core = network.agents[number]
+            entry = support.entry_address(0)
+            for kind, size in (("open", 0), ("data", 10)):
+                wire = support.WirePacket(flow, kind, size)
+                deliver = messages.Deliver(
+                    support.SERVICE, support.encode(wire), True
+                )
+                core.handle_message(deliver, entry, network.now)
+
+    def test_a_busy_target_is_passed_over(self) -> None:
+        network = start(entries=1)
+        self.keep_busy(network, 0)
+        self.keep_busy(network, 1)
+        open_flow(network)
+        self.assertEqual(network.list_holders(FLOW), [2])
+
+    def test_a_busy_target_takes_a_flow_when_all_are_busy(self) -> None:
+        for count in (1, 2, 5):
+            with self.subTest(count=count):
+                network = start((support.SERVICE,) * count, 1)
+                for number in range(count):
+                    self.keep_busy(network, number)
+                open_flow(network)
+
+    def test_a_target_that_breaks_flows_off_draws_no_more_of_them(
+        self,
+    ) -> None:
+        network = start((support.SERVICE,) * 5, 1)
+        taken = 0
+        for number in range(100):
+            flow = support.build_flow(number)
+            network.send(0, support.WirePacket(flow, "open"))
+            if flow in network.targets[0].held:
+                taken += 1
+                network.targets[0].held.discard(flow)
+                network.break_off(0, flow)
+            if number % 5 == 4:
+                network.advance(100)
+        self.assertLess(taken, 20)
+
     def test_a_caller_is_refused_when_all_are_full(self) -> None:
         network = start()
         for target in network.targets:
