One base for the cores of a kind, one writer of log events

No change of behaviour: the cores of passed-through flows share passthrough.basis, those of dissemination gossip.basis; entry and agent share nodeevents; three shells write LogEvent actions by eventlog.

--- a/src/egretfork/agent/events.py
+++ b/src/egretfork/agent/events.py
@@ -5,22 +5,19 @@
 
 from egretfork import actions
 from egretfork import model
+from egretfork import nodeevents
 from egretfork import wire
 
+MessageReceived = nodeevents.MessageReceived
+ConfigurationChanged = nodeevents.ConfigurationChanged
+AnnouncementsChanged = nodeevents.AnnouncementsChanged
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed; sent by the shell every 20 ms."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MessageReceived:
-    """A message from an entry or another agent."""
-
-    peer: model.Endpoint
-    message: wire.AnyMessage
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetDatagram:
     """A CoAP datagram from the agent's own target."""
@@ -29,20 +26,6 @@
     payload: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationChanged:
-    """A newer configuration is in force on this agent."""
-
-    configuration: model.Configuration
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnnouncementsChanged:
-    """The known targets of the agent's own service."""
-
-    announcements: tuple[model.TargetAnnouncement, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainRequested:
     """The target is to leave: no new work, flows move to others."""
--- a/src/egretfork/agent/shell.py
+++ b/src/egretfork/agent/shell.py
@@ -15,6 +15,7 @@
 from egretfork.agent import status as statuses
 from egretfork import clock as clock_module
 from egretfork import datagrams
+from egretfork import eventlog
 from egretfork import logs
 from egretfork import metrics as metrics_module
 from egretfork import model
@@ -185,13 +186,7 @@
 
     @staticmethod
     def _log(action: actions.LogEvent) -> None:
-        logs.write(
-            LOGGER,
-            action.event,
-            step=action.step,
-            peer=action.peer,
-            detail=action.detail,
-        )
+        eventlog.write(LOGGER, action)
 
     def _announce(self, action: events.Announce) -> None:
         self._publish(action.state, action.weight)
--- a/src/egretfork/entry/core.py
+++ b/src/egretfork/entry/core.py
@@ -6,6 +6,7 @@
 from egretfork import actions
 from egretfork import coapheader
 from egretfork import model
+from egretfork import nodeevents
 from egretfork import reasons
 from egretfork.routing import ranking
 from egretfork.routing import table
@@ -15,6 +16,11 @@
 MAX_PAYLOAD_BYTES = wire.MAX_DATAGRAM_BYTES - 1024
 
 
+MessageReceived = nodeevents.MessageReceived
+ConfigurationChanged = nodeevents.ConfigurationChanged
+AnnouncementsChanged = nodeevents.AnnouncementsChanged
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerDatagram:
     """A datagram from a caller to a service address."""
@@ -23,28 +29,6 @@
     payload: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MessageReceived:
-    """A message from an agent."""
-
-    peer: model.Endpoint
-    message: wire.AnyMessage
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationChanged:
-    """A configuration arrived."""
-
-    configuration: model.Configuration
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnnouncementsChanged:
-    """All announcements known to this node."""
-
-    announcements: tuple[model.TargetAnnouncement, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatagramRejected:
     """A datagram was refused before its content was known."""
--- a/src/egretfork/gossip/agent.py
+++ b/src/egretfork/gossip/agent.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from egretfork import actions
+from egretfork.gossip import basis
 from egretfork.gossip import budget
 from egretfork.gossip import deltas
 from egretfork.gossip import events
@@ -17,7 +18,6 @@
 from egretfork.gossip import transfer
 from egretfork import model
 from egretfork import reasons
-from egretfork import wire
 
 RETRY_PERIOD = datetime.timedelta(seconds=1)
 RENEWAL_PERIOD = datetime.timedelta(seconds=20)
@@ -26,7 +26,7 @@
 MAX_ATTEMPTS = 3
 
 
-class AgentCore:
+class AgentCore(basis.Core):
     """State of one agent in dissemination."""
 
     def __init__(
@@ -38,10 +38,10 @@
         rate_bytes_per_s: int,
         burst_bytes: int,
     ) -> None:
+        super().__init__(rate_bytes_per_s, burst_bytes)
         self._identity = identity
         self._service = service
         self._generator = generator
-        self._outbox = budget.Outbox(rate_bytes_per_s, burst_bytes)
         self._puller = transfer.Puller(service)
         self._exchange = exchange.Exchange(generator)
         self._observers = observers.Observers(identity.name)
@@ -53,7 +53,6 @@
         self._silent: tuple[messages.Suspicion, ...] = ()
         self._next_maintenance = datetime.timedelta()
         self._superseded = False
-        self._actions: list[events.Action] = []
 
     @property
     def order(self) -> messages.Order:
@@ -81,9 +80,7 @@
                 self._run_periodic_work(now)
             case events.Leave():
                 self._leave()
-        self._actions.extend(self._outbox.drain(now))
-        result, self._actions = self._actions, []
-        return result
+        return self._take_actions(now)
 
     def _receive(
         self,
@@ -113,18 +110,6 @@
             case _:
                 self._count(reasons.Drop.UNMATCHED_ANSWER)
 
-    def _send(
-        self,
-        priority: budget.Priority,
-        peer: model.Endpoint,
-        message: wire.Message,
-    ) -> None:
-        if not self._outbox.put(priority, peer, message):
-            self._count(reasons.Drop.TABLE_FULL)
-
-    def _count(self, reason: reasons.Reason) -> None:
-        self._actions.append(actions.CountReason(reason))
-
     # Configuration.
 
     def _consider(
--- a/src/egretfork/gossip/core.py
+++ b/src/egretfork/gossip/core.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretfork import actions
+from egretfork.gossip import basis
 from egretfork.gossip import budget
 from egretfork.gossip import confirmations
 from egretfork.gossip import deltas
@@ -31,7 +31,7 @@
 MAX_WAITING = 4
 
 
-class NodeCore:
+class NodeCore(basis.Core):
     """State of one entry or control process in dissemination."""
 
     def __init__(
@@ -42,9 +42,9 @@
         rate_bytes_per_s: int,
         burst_bytes: int,
     ) -> None:
+        super().__init__(rate_bytes_per_s, burst_bytes)
         self._record = record
         self._generator = generator
-        self._outbox = budget.Outbox(rate_bytes_per_s, burst_bytes)
         self._history = transfer.History()
         self._puller = transfer.Puller("")
         self._exchange = exchange.Exchange(generator)
@@ -55,7 +55,6 @@
         self._subscribers = subscription.Subscribers(
             record.name, self._history, self._exchange, generator
         )
-        self._actions: list[events.Action] = []
         self._next_digest: datetime.timedelta | None = None
         self._next_flush = datetime.timedelta()
         self._next_maintenance = datetime.timedelta()
@@ -107,9 +106,7 @@
             case events.Tick():
                 self._run_periodic_work(now)
         self._flush(now)
-        self._actions.extend(self._outbox.drain(now))
-        result, self._actions = self._actions, []
-        return result
+        return self._take_actions(now)
 
     def _receive(
         self,
@@ -145,18 +142,6 @@
             case _:
                 self._count(reasons.Drop.UNMATCHED_ANSWER)
 
-    def _send(
-        self,
-        priority: budget.Priority,
-        peer: model.Endpoint,
-        message: wire.Message,
-    ) -> None:
-        if not self._outbox.put(priority, peer, message):
-            self._count(reasons.Drop.TABLE_FULL)
-
-    def _count(self, reason: reasons.Reason) -> None:
-        self._actions.append(actions.CountReason(reason))
-
     # Configuration.
 
     def _publish(
--- a/src/egretfork/gossip/shell.py
+++ b/src/egretfork/gossip/shell.py
@@ -10,12 +10,12 @@
 from egretfork import actions
 from egretfork import clock
 from egretfork import datagrams
+from egretfork import eventlog
 from egretfork.gossip import agent
 from egretfork.gossip import core
 from egretfork.gossip import events
 from egretfork.gossip import messages
 from egretfork.gossip import settings
-from egretfork import logs
 from egretfork import metrics
 from egretfork import model
 from egretfork import reasons
@@ -211,11 +211,4 @@
             case actions.CountReason():
                 self._registry.count(action.reason)
             case actions.LogEvent():
-                logs.write(
-                    LOGGER,
-                    action.event,
-                    step=action.step,
-                    peer=action.peer,
-                    detail=action.detail,
-                    level=logging.WARNING,
-                )
+                eventlog.write(LOGGER, action, logging.WARNING)
--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from egretfork import actions as common
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import basis
 from egretfork.passthrough import flowtable
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
@@ -56,7 +56,7 @@
     opens: bool
 
 
-class AgentCore:
+class AgentCore(basis.Core):
     """Forwards packets between entries, callers and one target."""
 
     def __init__(
@@ -66,6 +66,7 @@
         lease: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
+        super().__init__(now)
         self._identity = identity
         self._codec = codec
         self._target = target.TargetLease(lease)
@@ -83,8 +84,6 @@
         self._announce_at = now
         self._announced = messages.TargetState.UNKNOWN
         self._stopping = False
-        self._now = now
-        self._actions: list[actions.Action] = []
 
     # Events
 
@@ -143,9 +142,7 @@
         self._begin(now)
         if self._target.note_end(identifier, now):
             detail = f"identifier={identifier}"
-            self._actions.append(
-                common.LogEvent("target_end", "follow target", detail=detail)
-            )
+            self._log_event("target_end", "follow target", "", detail)
         self._announce_change()
         return self._actions
 
@@ -171,13 +168,8 @@
         self._begin(now)
         if not self._suspicion.note_probe(listening):
             return self._actions
-        self._actions.append(
-            common.LogEvent(
-                "target_dead",
-                "follow target",
-                detail=f"nothing listens, report={self._describe_report()}",
-            )
-        )
+        detail = f"nothing listens, report={self._describe_report()}"
+        self._log_event("target_dead", "follow target", "", detail)
         self._target.note_death()
         self._end_flows("target dead", "")
         self._announce_change()
@@ -409,9 +401,7 @@
         if not ended:
             return
         detail = f"{cause} identifier={identifier} flows={len(ended)}"
-        self._actions.append(
-            common.LogEvent("flows_ended", "follow target", detail=detail)
-        )
+        self._log_event("flows_ended", "follow target", "", detail)
         # Callers open other flows at once, instead of sending their next
         # request on one that nobody answers.
         for flow, held in ended.items():
@@ -459,21 +449,6 @@
 
     # Output
 
-    def _begin(self, now: datetime.timedelta) -> None:
-        self._now = now
-        self._actions = []
-
-    def _send(self, peer: model.Endpoint, message: messages.Message) -> None:
-        self._actions.append(actions.SendMessage(peer, message))
-
-    def _count(self, reason: reasons.Reason) -> None:
-        self._actions.append(common.CountReason(reason))
-
-    def _log(self, event: str, flow: packets.FlowKey, detail: str) -> None:
-        self._actions.append(
-            common.LogEvent(event, "forward", str(flow), detail)
-        )
-
     def _log_report(
         self, report: target.Report, change: target.Change
     ) -> None:
@@ -482,9 +457,7 @@
             f" service={report.service} leaving={report.leaving}"
             f" born_ms={report.born_ms} sequence={report.sequence}"
         )
-        self._actions.append(
-            common.LogEvent("target_report", "follow target", detail=detail)
-        )
+        self._log_event("target_report", "follow target", "", detail)
 
     def _describe_report(self) -> str:
         report = self._target.report
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from egretfork import actions as common
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import basis
 from egretfork.passthrough import directory
 from egretfork.passthrough import messages
 from egretfork.passthrough import routing
@@ -58,7 +58,7 @@
         return b"".join(data for _, data in sorted(self.pieces.items()))
 
 
-class ContactCore:
+class ContactCore(basis.Core):
     """Greets control, and pulls each newer routing if the node needs it."""
 
     def __init__(
@@ -68,6 +68,7 @@
         seeds: tuple[model.Endpoint, ...],
         now: datetime.timedelta,
     ) -> None:
+        super().__init__(now)
         self._role = role
         self._name = name
         self._seeds = seeds
@@ -76,8 +77,6 @@
         self._listings: dict[model.Endpoint, messages.Directory] = {}
         self._greet_at = now
         self._pull: Pull | None = None
-        self._now = now
-        self._actions: list[actions.Action] = []
         self.newest = routing.Routing()
 
     @property
@@ -142,7 +141,7 @@
             listing = self._listings.get(control)
             checksum = listing.checksum if listing else 0
             greeting = messages.Greeting(self._role, self._name, checksum)
-            self._actions.append(actions.SendMessage(control, greeting))
+            self._send(control, greeting)
 
     def _expire(self) -> None:
         kept = {
@@ -193,14 +192,14 @@
         pull.asked_at = self._now
         for offset in pull.list_missing():
             request = messages.PieceRequest(pull.version, offset)
-            self._actions.append(actions.SendMessage(pull.source, request))
+            self._send(pull.source, request)
 
     def _repeat_pull(self, pull: Pull) -> None:
         pull.attempts += 1
         if pull.attempts >= PULL_ATTEMPTS:
             # The next greeting names a process that still has the version.
             self._pull = None
-            self._log("pull_abandoned", pull)
+            self._log_pull("pull_abandoned", pull)
             return
         self._ask(pull)
 
@@ -228,25 +227,19 @@
         try:
             self.newest = directory.unpack_routing(pull.join())
         except ValueError as error:
-            self._log("pull_unreadable", pull, str(error))
+            self._log_pull("pull_unreadable", pull, str(error))
             return
-        self._log("routing_pulled", pull)
+        self._log_pull("routing_pulled", pull)
 
-    def _begin(self, now: datetime.timedelta) -> None:
-        self._now = now
-        self._actions = []
-
-    def _log(self, event: str, pull: Pull, reason: str = "") -> None:
+    def _log_pull(self, event: str, pull: Pull, reason: str = "") -> None:
         age = self._now - pull.asked_at
         detail = (
             f"version={pull.version} bytes={pull.size}"
             f" asked_ms_ago={age // datetime.timedelta(milliseconds=1)}"
         )
-        self._actions.append(
-            common.LogEvent(
-                event,
-                "pull routing",
-                str(pull.source),
-                f"{detail} {reason}".rstrip(),
-            )
+        self._log_event(
+            event,
+            "pull routing",
+            str(pull.source),
+            f"{detail} {reason}".rstrip(),
         )
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from egretfork import actions as common
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import basis
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import placement
@@ -56,7 +56,7 @@
     offered: list[model.Endpoint] = msgspec.field(default_factory=list)
 
 
-class EntryCore:
+class EntryCore(basis.Core):
     """Forwards callers' packets to agents."""
 
     def __init__(
@@ -65,6 +65,7 @@
         codec: packets.Codec,
         now: datetime.timedelta,
     ) -> None:
+        super().__init__(now)
         self._availability_zone = availability_zone
         self._codec = codec
         self._routes: routing.RouteTable | None = None
@@ -77,8 +78,6 @@
         self._started_at = now
         self._ticked_at = now
         self._resumed_at = now
-        self._now = now
-        self._actions: list[actions.Action] = []
 
     @property
     def version(self) -> int:
@@ -134,9 +133,7 @@
         before = self.version
         self._routes = routing.RouteTable(newest)
         detail = f"version={newest.version} before={before}"
-        self._actions.append(
-            common.LogEvent("routing_in_force", "route", detail=detail)
-        )
+        self._log_event("routing_in_force", "route", "", detail)
         return self._actions
 
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
@@ -518,27 +515,10 @@
         ]
         for address in silent:
             del self._agents[address]
-            self._actions.append(
-                common.LogEvent("agent_silent", "follow agents", str(address))
-            )
+            self._log_event("agent_silent", "follow agents", str(address), "")
 
     # Output
 
-    def _begin(self, now: datetime.timedelta) -> None:
-        self._now = now
-        self._actions = []
-
-    def _send(self, peer: model.Endpoint, message: messages.Message) -> None:
-        self._actions.append(actions.SendMessage(peer, message))
-
-    def _count(self, reason: reasons.Reason) -> None:
-        self._actions.append(common.CountReason(reason))
-
-    def _log(self, event: str, flow: packets.FlowKey, detail: str) -> None:
-        self._actions.append(
-            common.LogEvent(event, "forward", str(flow), detail)
-        )
-
     def _log_offer(
         self,
         flow: packets.FlowKey,
@@ -564,8 +544,4 @@
             f"agent={message.agent} service={message.service}"
             f" state={message.state} stopping={message.stopping}"
         )
-        self._actions.append(
-            common.LogEvent(
-                "agent_state", "follow agents", str(address), detail
-            )
-        )
+        self._log_event("agent_state", "follow agents", str(address), detail)
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -10,7 +10,7 @@
 from egretfork import actions as common
 from egretfork import clock
 from egretfork import datagrams
-from egretfork import logs
+from egretfork import eventlog
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
@@ -84,13 +84,7 @@
             case common.CountReason():
                 self._registry.count(action.reason)
             case common.LogEvent():
-                logs.write(
-                    LOGGER,
-                    action.event,
-                    step=action.step,
-                    peer=action.peer,
-                    detail=action.detail,
-                )
+                eventlog.write(LOGGER, action)
 
 
 class NodeService(mode.Service):
