Scale the limits of an agent's silence with its period

Cause (reading the code for deployments with more entries): with 100 entries an agent announces itself each 2 s, which an entry would take for a loss. Sites of 5 to 24 entries are not affected: their periods are 0.2 to 0.5 s.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -462,7 +462,7 @@
         if agent is None:
             return True
         silent_since = max(agent.heard_at, self._resumed_at)
-        return self._now - silent_since >= AGENT_LOST_AFTER
+        return self._now - silent_since >= agent.stretch(AGENT_LOST_AFTER)
 
     def _note_pause(self) -> None:
         if self._now - self._ticked_at >= PAUSE_LIMIT:
@@ -511,7 +511,7 @@
         silent = [
             address
             for address, agent in self._agents.items()
-            if self._now - agent.heard_at >= AGENT_SILENCE_LIMIT
+            if self._now - agent.heard_at >= agent.stretch(AGENT_SILENCE_LIMIT)
         ]
         for address in silent:
             del self._agents[address]
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -47,8 +47,12 @@
 
     def is_heard(self, now: datetime.timedelta) -> bool:
         """Return whether announcements of the agent still arrive."""
+        return now - self.heard_at < self.stretch(SILENCE_MIN)
+
+    def stretch(self, least: datetime.timedelta) -> datetime.timedelta:
+        """Return a limit of silence that allows for missed announcements."""
         period = datetime.timedelta(milliseconds=self.announcement.period_ms)
-        return now - self.heard_at < max(SILENCE_MIN, MISSED_MAX * period)
+        return max(least, MISSED_MAX * period)
 
 
 def choose_agent(
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -176,6 +176,13 @@
         network.send(0, support.WirePacket(FLOW, "data", 1))
         self.assertEqual(network.to_callers[-1].kind, "reset")
 
+    def test_an_agent_that_announces_itself_rarely_is_not_lost(self) -> None:
+        network = start(entries=150)
+        open_flow(network)
+        network.advance(2500)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].kind, "data")
+
     def test_an_entry_that_stood_still_gives_up_no_flow(self) -> None:
         network = start()
         open_flow(network)
