Reset no flow whose agent has just restarted

Ruled out: the age of the entry (2.9 s), a silent agent (all had answered). Find names the route's services, or none. An agent that restarts with its clock set back is believed once its earlier process is silent. Both tests failed first.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -98,7 +98,7 @@
         if isinstance(message, messages.Deliver):
             self._deliver(message, peer)
         elif isinstance(message, messages.Find):
-            holding = self._check_holding(message.flow, message.service)
+            holding = self._check_holding(message.flow, message.services)
             self._send(peer, messages.Found(message.flow, holding))
         return self._actions
 
@@ -249,7 +249,8 @@
             return
         held = self.flows.find(packet.flow)
         if held is None:
-            holding = self._check_holding(packet.flow, service)
+            services = (service,) if service else ()
+            holding = self._check_holding(packet.flow, services)
             if holding is messages.Holding.NO:
                 self._refuse_packet(packet, entry)
                 return
@@ -274,7 +275,7 @@
         self._close_if_finished(held)
 
     def _check_holding(
-        self, flow: packets.FlowKey, service: str
+        self, flow: packets.FlowKey, services: tuple[str, ...]
     ) -> messages.Holding:
         held = self.flows.find(flow)
         if held is not None and held.stage is not flowtable.Stage.TRIED:
@@ -282,7 +283,7 @@
         if self._knows_all_flows or self.flows.has_ended(flow):
             return messages.Holding.NO
         report = self._target.report
-        if report is not None and report.service != service:
+        if report is not None and services and report.service not in services:
             return messages.Holding.NO
         return messages.Holding.UNSURE
 
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -317,24 +317,22 @@
         *,
         wide: bool,
     ) -> None:
+        services = () if wide else tuple(sorted(route.list_services()))
         # An agent that waits for a report may hold flows of any service.
-        services = route.list_services() | {""}
         asked = {
             agent.address
             for agent in self._agents.values()
-            if (wide or agent.announcement.service in services)
+            if (wide or agent.announcement.service in ("", *services))
             and agent.address not in without
             and not self._is_lost(agent.address)
         }
-        service = routing.choose_service(route, packet.flow)
         started = search.Search(
-            service, self._now, set(asked), packet.acknowledged, wide
+            services, self._now, set(asked), packet.acknowledged
         )
         started.add_packet(packet.data)
         self._searches[packet.flow] = started
         for address in sorted(asked):
-            announced = self._agents[address].announcement.service
-            self._send(address, messages.Find(packet.flow, announced))
+            self._send(address, messages.Find(packet.flow, services))
         self._log("search_started", packet.flow, f"asked={len(asked)}")
 
     def _ask_late_agent(self, agent: model.Endpoint) -> None:
@@ -342,7 +340,12 @@
         for flow, found in self._searches.items():
             if found.waiting and not found.tried:
                 found.unanswered.add(agent)
-                self._send(agent, messages.Find(flow, found.service))
+                self._send(agent, messages.Find(flow, found.services))
+
+    def _read_service(self, agent: model.Endpoint) -> str:
+        """Return the service that an agent announced, empty if none."""
+        view = self._agents.get(agent)
+        return view.announcement.service if view else ""
 
     def _note_found(
         self, message: messages.Found, peer: model.Endpoint
@@ -363,8 +366,7 @@
         holder: model.Endpoint,
     ) -> None:
         del self._searches[flow]
-        view = self._agents.get(holder)
-        service = view.announcement.service if view else found.service
+        service = self._read_service(holder)
         self._keep_hint(flow, Hint(service, holder, True, self._now))
         self._log("search_settled", flow, f"agent={holder}")
         for data in found.take_waiting():
@@ -385,8 +387,7 @@
         found.tried = True
         waiting = list(found.take_waiting())
         for agent in sorted(found.unsure):
-            view = self._agents.get(agent)
-            service = view.announcement.service if view else found.service
+            service = self._read_service(agent)
             for data in waiting:
                 self._send(agent, messages.Deliver(service, data))
 
@@ -484,9 +485,7 @@
             self._ask_late_agent(peer)
             return
         before = known.announcement
-        order = (message.incarnation, message.sequence)
-        restarted = message.agent != before.agent
-        if restarted or order > (before.incarnation, before.sequence):
+        if known.is_overtaken_by(message, self._now):
             known.note(message, self._now)
             if (before.state, before.service) != (
                 message.state,
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -68,10 +68,14 @@
 
 
 class Find(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Entry to agents: asks whose target holds a flow."""
+    """Entry to agents: asks whose target holds a flow.
+
+    Attributes:
+        services: services that may hold it; empty if any may.
+    """
 
     flow: packets.FlowKey
-    service: str
+    services: tuple[str, ...] = ()
 
 
 class Holding(enum.StrEnum):
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -16,6 +16,8 @@
 
 # An agent is heard while fewer announcements than this are missed.
 MISSED_MAX = 4
+# A process needs at least this time to be replaced by its next start.
+RESTART_MIN = datetime.timedelta(milliseconds=250)
 SILENCE_MIN = datetime.timedelta(milliseconds=800)
 # A request that waits counts as this many open flows.
 RUNNING_WEIGHT = 2.0
@@ -45,6 +47,22 @@
         self.heard_at = now
         self.placed = 0
 
+    def is_overtaken_by(
+        self, announcement: messages.Announcement, now: datetime.timedelta
+    ) -> bool:
+        """Return whether an announcement is newer than the known one.
+
+        The wall clock of an agent that restarted may have been set back;
+        the silence of its earlier process then shows that it has ended.
+        """
+        known = self.announcement
+        if announcement.agent != known.agent:
+            return True
+        if announcement.incarnation == known.incarnation:
+            return announcement.sequence > known.sequence
+        silent = now - self.heard_at >= RESTART_MIN
+        return announcement.incarnation > known.incarnation or silent
+
     def is_heard(self, now: datetime.timedelta) -> bool:
         """Return whether announcements of the agent still arrive."""
         return now - self.heard_at < self.stretch(SILENCE_MIN)
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -30,20 +30,19 @@
     """One search in progress or just concluded.
 
     Attributes:
+        services: services that may hold the flow; empty if any may.
         unanswered: agents that have not replied.
         acknowledged: number that the caller expects next.
         unsure: agents whose targets may hold the flow.
         waiting: packets that arrived meanwhile.
-        wide: all agents were asked, whatever their service.
         tried: the unsure agents have the packets.
         concluded: nobody is known to hold the flow.
     """
 
-    service: str
+    services: tuple[str, ...]
     started_at: datetime.timedelta
     unanswered: set[model.Endpoint]
     acknowledged: int
-    wide: bool
     tried: bool = False
     unsure: set[model.Endpoint] = msgspec.field(default_factory=set)
     waiting: list[bytes] = msgspec.field(default_factory=list)
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -163,9 +163,13 @@
         for number in range(len(services)):
             self.restart_agent(number)
 
-    def restart_agent(self, number: int) -> None:
-        """Start an agent that knows nothing, beside its old target."""
-        started_ms = int(self.now / at(1))
+    def restart_agent(self, number: int, clock_ms: int = 0) -> None:
+        """Start an agent that knows nothing, beside its old target.
+
+        Args:
+            clock_ms: by how much its wall clock is off.
+        """
+        started_ms = int(self.now / at(1)) + clock_ms
         identity = agent.AgentIdentity(f"agent-{number}", "zone-a", started_ms)
         core = agent.AgentCore(identity, FakeCodec(), LEASE, self.now)
         self.agents[number] = core
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -61,6 +61,30 @@
         network.advance(100)
         self.assertEqual(network.to_callers[-1].payload_bytes, 500)
 
+    def test_an_entry_that_has_not_heard_the_report_after_a_restart(
+        self,
+    ) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.advance(2000)
+        network.restart_agent(holder)
+        network.unreachable.add(support.entry_address(1))
+        network.report(holder)
+        network.unreachable.clear()
+        network.send(1, support.WirePacket(FLOW, "data", 100))
+        network.advance(100)
+        self.assertEqual(network.to_callers[-1].kind, "data")
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_an_agent_that_restarts_with_its_clock_set_back(self) -> None:
+        network = start()
+        network.advance(5000)
+        holder = open_flow(network)
+        network.restart_agent(holder, clock_ms=-60_000)
+        network.advance(3000)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(network.to_callers[-1].kind, "data")
+
     def test_the_first_report_after_a_restart_ends_no_flow(self) -> None:
         network = start()
         holder = open_flow(network)
