Ask all agents before a flow counts as lost

Cause (reading the change as a newcomer): an entry whose routing is older than a flow asked only the services it knew and would reset the flow while its target serves, if a route's service changed within the time in which a routing spreads and the flow's packets moved to that entry. The test failed first (packet not delivered, flow reset). A search that finds nobody goes on with the agents of all other services.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -24,6 +24,8 @@
 HINT_IDLE_LIMIT = datetime.timedelta(seconds=60)
 MAX_HINTS = 100_000
 MAX_SEARCHES = 4_096
+# Agents of other services that are asked for one flow.
+MAX_WIDENED = 256
 AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
 # An agent that restarts is heard again within this time; the flows of one
 # that is not are given up.
@@ -385,10 +387,9 @@
     def _try_unsure(self, found: search.Search) -> None:
         """Let the unsure agents offer the packets to their targets."""
         found.tried = True
-        waiting = list(found.take_waiting())
         for agent in sorted(found.unsure):
             service = self._read_service(agent)
-            for data in waiting:
+            for data in found.waiting:
                 self._send(agent, messages.Deliver(service, data))
 
     def _conclude_search(
@@ -402,10 +403,31 @@
         if not all_known:
             # An agent may still announce itself and take what waits.
             return
-        found.waiting.clear()
-        if found.is_held_nowhere():
+        if found.is_held_nowhere() and not self._widen(flow, found):
             self._reset(flow, found.acknowledged, "held_nowhere")
 
+    def _widen(self, flow: packets.FlowKey, found: search.Search) -> bool:
+        """Ask the agents of other services; return whether any may hold it.
+
+        An entry whose routing is older than the flow does not know the
+        service that the flow was opened at.
+        """
+        if not found.services:
+            return False
+        others = {
+            agent.address
+            for agent in self._agents.values()
+            if agent.announcement.service not in ("", *found.services)
+            and not self._is_lost(agent.address)
+        }
+        if len(others) > MAX_WIDENED:
+            # Too many to ask for one flow; the caller is left to time out.
+            return True
+        found.widen(others, self._now)
+        for address in sorted(others):
+            self._send(address, messages.Find(flow))
+        return bool(others)
+
     def _reset(
         self, flow: packets.FlowKey, acknowledged: int, reason: str
     ) -> None:
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -55,6 +55,16 @@
         self.waiting.append(data)
         return True
 
+    def widen(
+        self, others: set[model.Endpoint], now: datetime.timedelta
+    ) -> None:
+        """Go on with the agents of all other services."""
+        self.services = ()
+        self.started_at = now
+        self.unanswered = others
+        self.tried = False
+        self.concluded = not others
+
     def note_reply(
         self, agent: model.Endpoint, holding: messages.Holding
     ) -> None:
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -168,6 +168,18 @@
         kinds = {packet.kind for packet in network.to_callers}
         self.assertNotIn("reset", kinds)
 
+    def test_no_reset_by_an_entry_with_an_older_routing(self) -> None:
+        network = start(("old", "new", "new"))
+        network.route(support.build_routing(2, "old"))
+        network.advance(2000)
+        newer = support.build_routing(3, "new", earlier=("old",))
+        network.entries[0].handle_routing(newer, network.now)
+        holder = open_flow(network)
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(len(network.targets[holder].taken), 2)
+        kinds = {packet.kind for packet in network.to_callers}
+        self.assertNotIn("reset", kinds)
+
     def test_no_reset_by_an_entry_that_has_just_started(self) -> None:
         network = start()
         open_flow(network)
