Give the cores and shells of passed-through flows one base

Cause: the packet that ends a flow was built in three places, and the two services repeated their sockets, ticks and messages, with a second output whose sends had to be refused.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -56,7 +56,7 @@
     opens: bool
 
 
-class AgentCore(basis.Core):
+class AgentCore(basis.FlowCore):
     """Forwards packets between entries, callers and one target."""
 
     def __init__(
@@ -66,9 +66,8 @@
         lease: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        super().__init__(now)
+        super().__init__(codec, now)
         self._identity = identity
-        self._codec = codec
         self._target = target.TargetLease(lease)
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT)
         self._started_at = now
@@ -322,10 +321,6 @@
         self._log("flow_reset", packet.flow, "the target has ended")
         self._send_reset(packet.flow, packet.acknowledged)
 
-    def _send_reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
-        data = self._codec.build_reset(flow, acknowledged)
-        self._actions.append(actions.SendToCaller(flow, data))
-
     # Packets of the target
 
     def _take_back(self, packet: packets.Packet) -> None:
--- a/src/egretfork/passthrough/basis.py
+++ b/src/egretfork/passthrough/basis.py
@@ -34,3 +34,16 @@
         self, event: str, step: str, peer: str, detail: str
     ) -> None:
         self._actions.append(common.LogEvent(event, step, peer, detail))
+
+
+class FlowCore(Core):
+    """Core that reads packets of flows and may end a flow for its caller."""
+
+    def __init__(self, codec: packets.Codec, now: datetime.timedelta) -> None:
+        super().__init__(now)
+        self._codec = codec
+
+    def _send_reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
+        """Tell a caller that its flow does not exist any more."""
+        data = self._codec.build_reset(flow, acknowledged)
+        self._actions.append(actions.SendToCaller(flow, data))
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -58,7 +58,7 @@
     offered: list[model.Endpoint] = msgspec.field(default_factory=list)
 
 
-class EntryCore(basis.Core):
+class EntryCore(basis.FlowCore):
     """Forwards callers' packets to agents."""
 
     def __init__(
@@ -67,9 +67,8 @@
         codec: packets.Codec,
         now: datetime.timedelta,
     ) -> None:
-        super().__init__(now)
+        super().__init__(codec, now)
         self._availability_zone = availability_zone
-        self._codec = codec
         self._routes: routing.RouteTable | None = None
         self._routed_at = now
         self._agents: dict[model.Endpoint, placement.AgentView] = {}
@@ -291,8 +290,7 @@
         """Reject a flow that no target can take, before it has opened."""
         self._count(reasons.Refusal.NO_CAPACITY)
         self._log("flow_refused", packet.flow, "reason=no_capacity")
-        data = self._codec.build_reset(packet.flow, packet.acknowledged)
-        self._actions.append(actions.SendToCaller(packet.flow, data))
+        self._send_reset(packet.flow, packet.acknowledged)
 
     # Searches
 
@@ -433,8 +431,7 @@
     ) -> None:
         """Tell a caller that its flow is lost."""
         self._log("flow_reset", flow, f"reason={reason}")
-        data = self._codec.build_reset(flow, acknowledged)
-        self._actions.append(actions.SendToCaller(flow, data))
+        self._send_reset(flow, acknowledged)
 
     def _note_opened(
         self, flow: packets.FlowKey, agent: model.Endpoint
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -18,8 +18,8 @@
 from egretfork.passthrough import contact
 from egretfork.passthrough import directory
 from egretfork.passthrough import messages
+from egretfork.passthrough import output
 from egretfork.passthrough import routing
-from egretfork.passthrough import shell
 from egretfork import reasons
 
 LOGGER = logging.getLogger(__name__)
@@ -54,7 +54,7 @@
         self._registry = registry
         self._core = directory.DirectoryCore()
         self._socket = datagrams.DatagramService(address, self._on_datagram)
-        self._output = shell.Output(
+        self._output = output.Output(
             registry, self._socket.send, self._socket.send, 0
         )
         self._control: control_shell.ControlService | None = None
