Hold up no reset for an agent that has no target

The silent agents were those of three targets that had left before the fault: they started with the others at 35.1 s, never had a report, and their machines were taken away at 36, 37 and 38 s without a word.

Ruled out: unsure agents (unsure=0 in nearly all of these searches) and lost answers (the same three addresses were logged as silent ten seconds later).

Change: an agent that starts probes its target's address at once. Two refusals show that there is no target; the agent then announces that it holds no flow, and entries do not ask it. A target that reports later is used as before.

Tests: an agent without a target holds up no reset; a target that was never heard is probed at once (both failed before); a target that signed off still holds its flows for a while; a target that starts after its agent is used.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -82,6 +82,7 @@
         self._sequence = 0
         self._announce_at = now
         self._announced = messages.TargetState.UNKNOWN
+        self._announced_vacant = False
         self._stopping = False
 
     # Events
@@ -125,6 +126,7 @@
         if change is target.Change.REPLACED:
             self._end_flows("target started", report.identifier)
         if change in (target.Change.FIRST, target.Change.REPLACED):
+            self._suspicion.note_heard()
             # A target that has only just begun to report holds no flow
             # that this agent has not seen.
             fresh = report.sequence <= 1
@@ -170,6 +172,7 @@
         detail = f"nothing listens, report={self._describe_report()}"
         self._log_event("target_dead", "follow target", "", detail)
         self._target.note_death()
+        self._knows_all_flows = True
         self._end_flows("target dead", "")
         self._announce_change()
         return self._actions
@@ -407,7 +410,9 @@
     # Announcements
 
     def _announce_change(self) -> None:
-        if self._target.read_state(self._now) is not self._announced:
+        state = self._target.read_state(self._now)
+        vacant = self._target.has_ended(self._now)
+        if (state, vacant) != (self._announced, self._announced_vacant):
             self._announce()
 
     def _announce(self) -> None:
@@ -416,6 +421,7 @@
 
     def _announce_to(self, entries: tuple[model.Endpoint, ...]) -> None:
         self._announced = self._target.read_state(self._now)
+        self._announced_vacant = self._target.has_ended(self._now)
         self._sequence += 1
         announcement = self._build_announcement()
         for entry in entries:
@@ -441,6 +447,7 @@
             stopping=self._stopping,
             recent=round(self._recent.read(self._now), 1),
             period_ms=self._compute_period() // MILLISECOND,
+            vacant=self._announced_vacant,
         )
 
     # Output
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -323,6 +323,7 @@
             agent.address
             for agent in self._agents.values()
             if (wide or agent.announcement.service in ("", *services))
+            and not agent.announcement.vacant
             and agent.address not in without
             and not self._is_lost(agent.address)
         }
@@ -416,6 +417,7 @@
             agent.address
             for agent in self._agents.values()
             if agent.announcement.service not in ("", *found.services)
+            and not agent.announcement.vacant
             and not self._is_lost(agent.address)
         }
         if len(others) > MAX_WIDENED:
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -115,6 +115,7 @@
         stopping: the agent's process is about to end.
         recent: flows opened lately, and more for each that the target
             broke off; fades within seconds.
+        vacant: there is no target, so that the agent holds no flow.
         period_ms: time until the next announcement at the latest.
     """
 
@@ -131,6 +132,7 @@
     stopping: bool = False
     period_ms: int = 200
     recent: float = 0.0
+    vacant: bool = False
 
 
 class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/egretfork/passthrough/suspicion.py
+++ b/src/egretfork/passthrough/suspicion.py
@@ -21,7 +21,8 @@
     """Silence of a target and the probes that follow from it."""
 
     def __init__(self) -> None:
-        self._unanswered_since: datetime.timedelta | None = None
+        # Until a target is heard, there may be none.
+        self._unanswered_since: datetime.timedelta | None = -ANSWER_LIMIT
         self._probe_at = datetime.timedelta()
         self._refusals = 0
         self._listening = False
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -96,8 +96,8 @@
         return True
 
     def note_death(self) -> None:
-        """Note that nothing listens at the target's address any more."""
-        self._dead = self._report is not None
+        """Note that nothing listens at the target's address."""
+        self._dead = True
 
     def has_ended(self, now: datetime.timedelta) -> bool:
         """Return whether the target surely has ended."""
@@ -107,10 +107,10 @@
 
     def read_state(self, now: datetime.timedelta) -> messages.TargetState:
         """Return what may be sent to the target at this instant."""
-        if self._report is None:
-            return messages.TargetState.UNKNOWN
         if self._dead or self._gone_at is not None:
             return messages.TargetState.ENDED
+        if self._report is None:
+            return messages.TargetState.UNKNOWN
         if self._report.leaving:
             return messages.TargetState.LEAVING
         if now - self._reported_at > self._lease:
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -179,12 +179,12 @@
         """Tell an agent of all entries."""
         addresses = tuple(entry_address(i) for i in range(len(self.entries)))
         wanted = self.agents[number].handle_entries(addresses, self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
 
     def stop_agent(self, number: int) -> None:
         """Stop an agent for good."""
         wanted = self.agents[number].handle_stop(self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
         del self.agents[number]
 
     def report(self, number: int, *, leaving: bool = False) -> None:
@@ -197,7 +197,7 @@
             leaving=leaving,
         )
         wanted = self.agents[number].handle_report(report, self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
 
     def advance(self, milliseconds: float, *, reports: bool = True) -> None:
         """Let time pass with reports and ticks each 100 ms."""
@@ -223,14 +223,14 @@
     def send(self, number: int, packet: WirePacket) -> None:
         """Let a caller's packet arrive at an entry."""
         wanted = self.entries[number].handle_packet(encode(packet), self.now)
-        self._carry_out(wanted, entry_address(number))
+        self.carry_out(wanted, entry_address(number))
 
     def break_off(self, number: int, flow: packets.FlowKey) -> None:
         """Let a target reset a flow."""
         reset = encode(WirePacket(flow, "reset"))
         core = self.agents[number]
         wanted = core.handle_target_packet(reset, self.now)
-        self._carry_out(list(wanted), agent_address(number))
+        self.carry_out(list(wanted), agent_address(number))
 
     def list_holders(self, flow: packets.FlowKey) -> list[int]:
         """Return the targets that hold a flow."""
@@ -243,14 +243,15 @@
     def _tick(self) -> None:
         for number, core in self.agents.items():
             wanted = core.handle_tick(self.now)
-            self._carry_out(wanted, agent_address(number))
+            self.carry_out(wanted, agent_address(number))
         for number, entry_core in enumerate(self.entries):
             wanted = entry_core.handle_tick(self.now)
-            self._carry_out(wanted, entry_address(number))
+            self.carry_out(wanted, entry_address(number))
 
-    def _carry_out(
+    def carry_out(
         self, wanted: list[actions.Action], source: model.Endpoint
     ) -> None:
+        """Carry out the actions of the core at an address."""
         for action in wanted:
             match action:
                 case actions.SendMessage():
@@ -277,7 +278,7 @@
             else self.agents[number]
         )
         result = core.handle_message(decoded, source, self.now)
-        self._carry_out(list(result), action.peer)
+        self.carry_out(list(result), action.peer)
 
     def _pass_to_target(
         self, action: actions.SendToTarget, source: model.Endpoint
@@ -286,7 +287,7 @@
         if answer is not None:
             core = self.agents[source.port]
             wanted = core.handle_target_packet(answer, self.now)
-            self._carry_out(list(wanted), source)
+            self.carry_out(list(wanted), source)
 
 
 ENTRY_HOST = "10.0.0.1"
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -200,6 +200,47 @@
         self.assertEqual(len(network.targets[holder].taken), 2)
         self.assertEqual(network.to_callers[-1].payload_bytes, 500)
 
+    def test_an_agent_without_a_target_holds_up_no_reset(self) -> None:
+        network = start()
+        open_flow(network)
+        network.advance(2000)
+        self.lose_all_flows(network)
+        core = network.agents[2]
+        for _ in range(2):
+            network.carry_out(
+                core.handle_probe(False, network.now), support.agent_address(2)
+            )
+        del network.agents[2]
+        network.advance(200)
+        network.send(1, support.WirePacket(FLOW, "data", 1, acknowledged=7))
+        network.advance(100)
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
+    def test_a_target_that_signs_off_holds_its_flows_for_a_while(
+        self,
+    ) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.advance(2000)
+        core = network.agents[holder]
+        network.carry_out(
+            core.handle_target_end(f"i-{holder}", network.now),
+            support.agent_address(holder),
+        )
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_a_target_that_starts_after_its_agent_is_used(self) -> None:
+        network = support.Network((support.SERVICE,), 1)
+        network.route(support.build_routing(1))
+        core = network.agents[0]
+        core.handle_probe(False, network.now)
+        core.handle_probe(False, network.now)
+        network.advance(100)
+        open_flow(network)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
     def test_flows_of_a_lost_agent_are_given_up(self) -> None:
         network = start()
         holder = open_flow(network)
--- a/tests/passthrough/test_suspicion.py
+++ b/tests/passthrough/test_suspicion.py
@@ -14,11 +14,19 @@
 
     def setUp(self) -> None:
         self.suspicion = suspicion.Suspicion()
+        self.suspicion.note_heard()
 
     def is_due(self, milliseconds: int) -> bool:
         """Return whether a probe is due."""
         return self.suspicion.is_probe_due(READY, support.at(milliseconds))
 
+    def test_a_target_that_was_never_heard_is_probed_at_once(self) -> None:
+        self.suspicion = suspicion.Suspicion()
+        self.assertTrue(self.is_due(30))
+        self.assertFalse(self.suspicion.note_probe(listening=False))
+        self.assertTrue(self.is_due(180))
+        self.assertTrue(self.suspicion.note_probe(listening=False))
+
     def test_an_idle_target_is_not_probed(self) -> None:
         self.assertFalse(self.is_due(60_000))
 
