Bind the UDP sockets of a role before its imports

Ruled out: routing and agents (routing in force within 10 ms of the start, targets had reported 0.4 s before).

Change: run.py binds the sockets that the settings name before it imports the role; what arrives waits in them. The services take them over.

Tests: a datagram sent before the service starts is read by it; unreadable settings bind nothing; nothing slow is imported first.

--- a/src/egretfork/datagrams.py
+++ b/src/egretfork/datagrams.py
@@ -9,10 +9,10 @@
 
 from egretfork import logs
 from egretfork import model
+from egretfork import udp
 
 LOGGER = logging.getLogger(__name__)
 
-BUFFER_BYTES = 4 * 1024 * 1024
 MAX_UDP_BYTES = 65535
 # Datagrams read in one turn of the event loop: a turn for each datagram
 # costs several times as much as the read itself, and without a bound a busy
@@ -23,12 +23,22 @@
 
 
 class DatagramService(mode.Service):
-    """Receives datagrams on one UDP address and sends from it."""
+    """Receives datagrams on one UDP address and sends from it.
 
-    def __init__(self, address: model.Endpoint, handler: Handler) -> None:
+    Args:
+        bound: socket that is bound to the address already.
+    """
+
+    def __init__(
+        self,
+        address: model.Endpoint,
+        handler: Handler,
+        bound: socket.socket | None = None,
+    ) -> None:
         super().__init__()
         self._address = address
         self._handler = handler
+        self._bound = bound
         self._socket: socket.socket | None = None
 
     @property
@@ -42,6 +52,14 @@
         Raises:
             OSError: the address cannot be bound.
         """
+        bound = self._bound or self._bind()
+        bound.setblocking(False)
+        self._bound = None
+        self._socket = bound
+        self._address = model.Endpoint(*bound.getsockname())
+        asyncio.get_running_loop().add_reader(bound, self._read_batch, bound)
+
+    def _bind(self) -> socket.socket:
         bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             self.configure(bound)
@@ -49,10 +67,7 @@
         except OSError:
             bound.close()
             raise
-        bound.setblocking(False)
-        self._socket = bound
-        self._address = model.Endpoint(*bound.getsockname())
-        asyncio.get_running_loop().add_reader(bound, self._read_batch, bound)
+        return bound
 
     async def on_stop(self) -> None:
         """Close the socket."""
@@ -67,8 +82,7 @@
         Raises:
             OSError: the kernel refused an option.
         """
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            bound.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        udp.enlarge_buffers(bound)
 
     def receive(self, bound: socket.socket) -> None:
         """Read one datagram and pass it to the handler.
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -21,6 +21,7 @@
 from egretfork.passthrough import output
 from egretfork.passthrough import routing
 from egretfork import reasons
+from egretfork import udp
 
 LOGGER = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
         contact_core: contact.ContactCore,
         time: clock.Clock,
         registry: metrics.Metrics,
+        sockets: udp.EarlySockets,
     ) -> None:
         super().__init__()
         self._address = address
@@ -53,7 +55,11 @@
         self._time = time
         self._registry = registry
         self._core = directory.DirectoryCore()
-        self._socket = datagrams.DatagramService(address, self._on_datagram)
+        self._socket = datagrams.DatagramService(
+            address,
+            self._on_datagram,
+            sockets.take(address.host, address.port),
+        )
         self._output = output.Output(
             registry, self._socket.send, self._socket.send, 0
         )
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -18,6 +18,7 @@
 from egretfork.passthrough import output
 from egretfork.passthrough import target
 from egretfork import reasons
+from egretfork import udp
 
 TICK_S = 0.03
 PROBE_LIMIT_S = 0.5
@@ -59,15 +60,22 @@
         core: NodeCore,
         time: clock.Clock,
         registry: metrics.Metrics,
+        sockets: udp.EarlySockets,
     ) -> None:
         super().__init__()
         self.contact = contact_core
         self.time = time
         self.registry = registry
         self.internal = datagrams.DatagramService(
-            internal_address, self._on_datagram
+            internal_address,
+            self._on_datagram,
+            sockets.take(internal_address.host, internal_address.port),
+        )
+        self.outer = datagrams.DatagramService(
+            outer_address,
+            self.on_packet,
+            sockets.take(outer_address.host, outer_address.port),
         )
-        self.outer = datagrams.DatagramService(outer_address, self.on_packet)
         self._core = core
 
     async def on_start(self) -> None:
@@ -123,6 +131,7 @@
         core: entry.EntryCore,
         time: clock.Clock,
         registry: metrics.Metrics,
+        sockets: udp.EarlySockets,
     ) -> None:
         super().__init__(
             internal_address,
@@ -131,6 +140,7 @@
             core,
             time,
             registry,
+            sockets,
         )
         self._entry = core
         self.output = output.Output(
@@ -171,6 +181,7 @@
         core: agent.AgentCore,
         time: clock.Clock,
         registry: metrics.Metrics,
+        sockets: udp.EarlySockets,
     ) -> None:
         super().__init__(
             internal_address,
@@ -179,6 +190,7 @@
             core,
             time,
             registry,
+            sockets,
         )
         self._agent = core
         self.output = output.Output(
--- /dev/null
+++ b/tests/platform/test_early.py
@@ -0,0 +1,83 @@
+"""Sockets of a role are bound before the role is imported."""
+
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from tests import platform  # noqa: F401  (adds the adapter to the path)
+
+from egretfork_platform import early
+
+HOST = "127.0.0.51"
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SLOW_IMPORTS = ("asyncio", "mode", "msgspec", "h11", "logging")
+
+
+class EarlySocketsTest(unittest.TestCase):
+    """Guards against datagrams that are lost while a process imports."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.toml"
+
+    def write(self, datagram: str) -> None:
+        """Write a settings file."""
+        self.path.write_text(
+            f'ipAddress = "{HOST}"\ninternalPorts = [0, 15]\n'
+            f'[listenAddresses]\ndatagramAddress = "{datagram}"\n'
+        )
+
+    def test_a_datagram_waits_for_the_service(self) -> None:
+        probe = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(probe.close)
+        probe.bind((HOST, 0))
+        port = probe.getsockname()[1]
+        probe.close()
+        self.write(f"{HOST}:{port}")
+        sockets = early.open_sockets("entry", self.path)
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sender.close)
+        sender.sendto(b"early", (HOST, port))
+        bound = sockets.take(HOST, port)
+        assert bound is not None
+        self.addCleanup(bound.close)
+        self.assertEqual(bound.recv(100), b"early")
+        self.assertIsNone(sockets.take(HOST, port))
+        other = sockets.take(HOST, 2)
+        if other is not None:
+            other.close()
+
+    def test_unreadable_settings_bind_nothing(self) -> None:
+        for text in ("", "a = [", 'ipAddress = 3\ninternalPorts = ["x"]'):
+            with self.subTest(text=text):
+                self.path.write_text(text)
+                sockets = early.open_sockets("entry", self.path)
+                self.assertIsNone(sockets.take(HOST, 2))
+
+    def test_an_address_of_another_machine_is_left_out(self) -> None:
+        self.write("192.0.2.1:5000")
+        sockets = early.open_sockets("entry", self.path)
+        self.assertIsNone(sockets.take("192.0.2.1", 5000))
+
+    def test_nothing_slow_is_imported(self) -> None:
+        code = (
+            "import sys; import egretfork_platform.early;"
+            f" print([m for m in {SLOW_IMPORTS!r} if m in sys.modules])"
+        )
+        paths = f"{ROOT / 'platform'}:{ROOT / 'src'}"
+        done = subprocess.run(
+            [sys.executable, "-S", "-c", code],
+            env={"PYTHONPATH": paths},
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(done.stdout.strip(), "[]")
+
+
+if __name__ == "__main__":
+    unittest.main()
