Leave callers' packets in the socket until an entry can forward them

Change: the callers' socket is read once a routing is in force and an agent of each service is known, 0.5 s after the routing at the latest, 1 s after the start if there is none.

Tests: a paused datagram service keeps what arrives; an entry waits for agents of all services, not long for a missing one, not long for a routing.

--- a/src/egretfork/datagrams.py
+++ b/src/egretfork/datagrams.py
@@ -27,6 +27,7 @@
 
     Args:
         bound: socket that is bound to the address already.
+        paused: leave datagrams in the socket until ``resume`` is called.
     """
 
     def __init__(
@@ -34,11 +35,14 @@
         address: model.Endpoint,
         handler: Handler,
         bound: socket.socket | None = None,
+        *,
+        paused: bool = False,
     ) -> None:
         super().__init__()
         self._address = address
         self._handler = handler
         self._bound = bound
+        self._paused = paused
         self._socket: socket.socket | None = None
 
     @property
@@ -57,6 +61,16 @@
         self._bound = None
         self._socket = bound
         self._address = model.Endpoint(*bound.getsockname())
+        if not self._paused:
+            self._read_from(bound)
+
+    def resume(self) -> None:
+        """Read what waits and what arrives from here on."""
+        if self._paused and self._socket is not None:
+            self._paused = False
+            self._read_from(self._socket)
+
+    def _read_from(self, bound: socket.socket) -> None:
         asyncio.get_running_loop().add_reader(bound, self._read_batch, bound)
 
     def _bind(self) -> socket.socket:
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -40,6 +40,9 @@
 AGENTS_KNOWN_AFTER = datetime.timedelta(seconds=2)
 # Routes may lead to agents that have not announced themselves yet.
 READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
+# For how long packets wait for the agents of all services, and for a routing.
+READ_WAIT_MAX = datetime.timedelta(milliseconds=500)
+ROUTING_WAIT_MAX = datetime.timedelta(seconds=1)
 
 
 class Hint(msgspec.Struct):
@@ -152,11 +155,22 @@
 
     def is_ready(self, now: datetime.timedelta) -> bool:
         """Return whether callers' packets can be forwarded."""
+        return self._knows_services(now, READY_WAIT_MAX)
+
+    def may_read(self, now: datetime.timedelta) -> bool:
+        """Return whether packets that wait since the start may be read."""
+        if self._routes is None:
+            return now - self._started_at >= ROUTING_WAIT_MAX
+        return self._knows_services(now, READ_WAIT_MAX)
+
+    def _knows_services(
+        self, now: datetime.timedelta, limit: datetime.timedelta
+    ) -> bool:
         if self._routes is None:
             return False
         known = {agent.announcement.service for agent in self._agents.values()}
         complete = self._routes.list_services() <= known
-        return complete or now - self._routed_at >= READY_WAIT_MAX
+        return complete or now - self._routed_at >= limit
 
     # Packets
 
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -61,6 +61,8 @@
         time: clock.Clock,
         registry: metrics.Metrics,
         sockets: udp.EarlySockets,
+        *,
+        paused: bool = False,
     ) -> None:
         super().__init__()
         self.contact = contact_core
@@ -75,6 +77,7 @@
             outer_address,
             self.on_packet,
             sockets.take(outer_address.host, outer_address.port),
+            paused=paused,
         )
         self._core = core
 
@@ -111,6 +114,7 @@
             self.output.carry_out(self.contact.handle_tick(now))
             self.follow_contact()
             self.output.carry_out(self._core.handle_tick(now))
+            self.on_tick()
             await asyncio.sleep(TICK_S)
 
     def on_packet(self, data: bytes, peer: model.Endpoint) -> None:
@@ -119,6 +123,9 @@
     def follow_contact(self) -> None:
         """Take what the contact with control has brought."""
 
+    def on_tick(self) -> None:
+        """Do what depends on time besides the core's decisions."""
+
 
 class EntryService(NodeService):
     """Entry for passed-through flows."""
@@ -141,6 +148,7 @@
             time,
             registry,
             sockets,
+            paused=True,
         )
         self._entry = core
         self.output = output.Output(
@@ -160,6 +168,11 @@
         """Process a packet of a caller."""
         self.output.carry_out(self._entry.handle_packet(data, self.time.now()))
 
+    def on_tick(self) -> None:
+        """Begin to read callers' packets once they can be forwarded."""
+        if self._entry.may_read(self.time.now()):
+            self.outer.resume()
+
     def follow_contact(self) -> None:
         """Put a newer routing in force."""
         newest = self.contact.newest
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -313,6 +313,40 @@
         self.assertEqual(network.to_callers[-1].acknowledged, 7)
 
 
+class StartTest(unittest.TestCase):
+    """Guards against packets that an entry reads before it can use them."""
+
+    def may_read(self, network: support.Network) -> bool:
+        """Return whether the newest entry reads callers' packets."""
+        return network.entries[-1].may_read(network.now)
+
+    def test_packets_wait_for_the_agents_of_all_services(self) -> None:
+        network = start(("old", "new"), 1)
+        network.route(support.build_routing(2, "old"))
+        network.add_entry()
+        self.assertFalse(self.may_read(network))
+        network.list_entries(1)
+        self.assertFalse(self.may_read(network))
+        network.list_entries(0)
+        self.assertTrue(self.may_read(network))
+
+    def test_packets_do_not_wait_long_for_a_service(self) -> None:
+        network = start(entries=1)
+        network.route(support.build_routing(2, "missing"))
+        network.add_entry()
+        network.advance(400)
+        self.assertFalse(self.may_read(network))
+        network.advance(100)
+        self.assertTrue(self.may_read(network))
+
+    def test_packets_do_not_wait_long_for_a_routing(self) -> None:
+        network = support.Network((support.SERVICE,), 1)
+        network.advance(900)
+        self.assertFalse(self.may_read(network))
+        network.advance(100)
+        self.assertTrue(self.may_read(network))
+
+
 class OpeningTest(unittest.TestCase):
     """Guards against flows opened where they must not be."""
 
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -40,6 +40,26 @@
         await asyncio.wait_for(done.wait(), 20)
         self.assertEqual(received, expected)
 
+    async def test_a_paused_service_keeps_datagrams_for_later(self) -> None:
+        received: list[bytes] = []
+        done = asyncio.Event()
+
+        def handle(data: bytes, peer: model.Endpoint) -> None:
+            received.append(data)
+            done.set()
+
+        service = datagrams.DatagramService(LOOPBACK, handle, paused=True)
+        await service.start()
+        self.addAsyncCleanup(service.stop)
+        service.send(b"early", service.address)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual(received, [])
+        service.resume()
+        service.resume()
+        await asyncio.wait_for(done.wait(), 20)
+        self.assertEqual(received, [b"early"])
+
 
 if __name__ == "__main__":
     unittest.main()
