Let agents seek the holders of flows for entries

Change: an entry without a hint sends one Seek with the flow's packet to the first of the flow's two registrars, or the second after 0.2 s. That agent knows the holder, or asks the agents that the entry names and lets the unsure ones try the packet; trials come back without their data. passthrough.search and the new passthrough.seeker run at agents, entries keep passthrough.lookup. The budget is gone with the questions that it limited.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -19,7 +19,7 @@
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import recency
-from egretfork.passthrough import registry
+from egretfork.passthrough import seeker
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
 from egretfork import reasons
@@ -55,6 +55,7 @@
 
     entry: model.Endpoint
     opens: bool
+    trial: bool
 
 
 class AgentCore(basis.FlowCore):
@@ -74,7 +75,7 @@
         self._started_at = now
         self._knows_all_flows = False
         self._entries: tuple[model.Endpoint, ...] = ()
-        self._register = registry.Register()
+        self._seeker = seeker.Seeker(now)
         self._pending: collections.OrderedDict[int, _PendingReturn] = (
             collections.OrderedDict()
         )
@@ -95,7 +96,7 @@
         peer: model.Endpoint,
         now: datetime.timedelta,
     ) -> list[actions.Action]:
-        """Process a message of an entry."""
+        """Process a message of an entry or of another agent."""
         self._begin(now)
         match message:
             case messages.Deliver():
@@ -103,11 +104,8 @@
             case messages.Find():
                 holding = self._check_holding(message.flow, message.services)
                 self._send(peer, messages.Found(message.flow, holding))
-            case messages.Register():
-                self._register.put(message.flow, message.holder, now)
-            case messages.Locate():
-                holder = self._register.find(message.flow)
-                self._send(peer, messages.Located(message.flow, holder))
+            case _:
+                return self._seeker.handle_message(message, peer, now)
         return self._actions
 
     def handle_target_packet(
@@ -159,7 +157,7 @@
         """Announce the target and expire what is no longer needed."""
         self._begin(now)
         self.flows.expire(now)
-        self._register.expire(now)
+        self._actions += self._seeker.handle_tick(now)
         if now - self._started_at >= FLOW_IDLE_LIMIT:
             self._knows_all_flows = True
         if self._target.has_ended(now) and len(self.flows):
@@ -221,7 +219,7 @@
             insist = message.insist
             self._open(packet, message.service, entry, insist=insist)
         else:
-            self._continue(packet, message.service, entry)
+            self._continue(packet, message.service, entry, message.trial)
 
     def _is_busy(self) -> bool:
         """Return whether another request would have to wait."""
@@ -253,7 +251,11 @@
         self._send_to_target(packet, entry)
 
     def _continue(
-        self, packet: packets.Packet, service: str, entry: model.Endpoint
+        self,
+        packet: packets.Packet,
+        service: str,
+        entry: model.Endpoint,
+        trial: bool,
     ) -> None:
         if self.flows.has_ended(packet.flow):
             self._reset(packet)
@@ -263,7 +265,7 @@
             services = (service,) if service else ()
             holding = self._check_holding(packet.flow, services)
             if holding is messages.Holding.NO:
-                self._refuse_packet(packet, entry)
+                self._refuse_packet(packet, entry, trial)
                 return
             held = self.flows.add(
                 packet.flow, flowtable.Stage.TRIED, entry, self._now
@@ -271,7 +273,7 @@
         held.entry = entry
         self.flows.touch(packet.flow, held, self._now)
         self._note_from_caller(packet, held)
-        self._send_to_target(packet, entry)
+        self._send_to_target(packet, entry, trial)
 
     def _note_from_caller(
         self, packet: packets.Packet, held: flowtable.HeldFlow
@@ -299,12 +301,15 @@
         return messages.Holding.UNSURE
 
     def _send_to_target(
-        self, packet: packets.Packet, entry: model.Endpoint
+        self,
+        packet: packets.Packet,
+        entry: model.Endpoint,
+        trial: bool = False,
     ) -> None:
         tag = self._next_tag
         self._next_tag = tag % MAX_TAG + 1
         self._suspicion.note_sent(self._now)
-        self._pending[tag] = _PendingReturn(entry, packet.opens)
+        self._pending[tag] = _PendingReturn(entry, packet.opens, trial)
         if len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
         data = self._codec.write_tag(packet.data, tag)
@@ -321,10 +326,11 @@
         self._send(entry, messages.Declined(packet.flow, reason, packet.data))
 
     def _refuse_packet(
-        self, packet: packets.Packet, entry: model.Endpoint
+        self, packet: packets.Packet, entry: model.Endpoint, trial: bool
     ) -> None:
         self._count(reasons.Drop.UNMATCHED_ANSWER)
-        self._send(entry, messages.NotHeld(packet.flow, packet.data))
+        data = b"" if trial else packet.data
+        self._send(entry, messages.NotHeld(packet.flow, data))
 
     def _reset(self, packet: packets.Packet) -> None:
         """Tell a caller that the target of its flow has ended."""
@@ -350,7 +356,7 @@
             )
         else:
             self._log("packet_returned", packet.flow, "not held by target")
-            self._refuse_packet(original, pending.entry)
+            self._refuse_packet(original, pending.entry, pending.trial)
 
     def _pass_answer(self, packet: packets.Packet) -> None:
         held = self.flows.find(packet.flow)
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -1,8 +1,8 @@
 """Decisions of an entry for flows whose content it cannot read.
 
 An entry holds hints, never the truth: which agent has a flow is known to
-the agents. A packet with no hint starts a search; an agent that does not
-hold the flow hands the packet back.
+the agents. For a packet with no hint an agent looks for the holder; an agent
+that does not hold the flow hands the packet back.
 """
 
 import collections
@@ -10,26 +10,25 @@
 
 import msgspec
 
-from egretfork import bucket
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
 from egretfork.passthrough import basis
+from egretfork.passthrough import lookup
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import placement
 from egretfork.passthrough import registry
 from egretfork.passthrough import routing
-from egretfork.passthrough import search
 from egretfork import reasons
 
 HINT_IDLE_LIMIT = datetime.timedelta(seconds=60)
 MAX_HINTS = 100_000
-MAX_SEARCHES = 4_096
+MAX_LOOKUPS = 4_096
 # Agents of other services that are asked for one flow.
 MAX_WIDENED = 256
-# A question to one agent, with the heads of its datagram.
-FIND_BYTES = 100
+# Question whose negative answer decides nothing.
+NO_NUMBER = 0
 AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
 # An agent that restarts is heard again within this time; the flows of one
 # that is not are given up.
@@ -49,10 +48,6 @@
 ROUTING_WAIT_MAX = datetime.timedelta(seconds=1)
 
 
-# Bytes of questions a second; 55 agents are then asked for 800 flows.
-SEARCH_BYTES_PER_S = 4_500_000
-
-
 class Hint(msgspec.Struct):
     """Where an entry sends the packets of a flow.
 
@@ -77,7 +72,6 @@
         availability_zone: str,
         codec: packets.Codec,
         now: datetime.timedelta,
-        search_bytes_per_s: int = SEARCH_BYTES_PER_S,
     ) -> None:
         super().__init__(codec, now)
         self._availability_zone = availability_zone
@@ -85,13 +79,10 @@
         self._routed_at = now
         self._agents: dict[model.Endpoint, placement.AgentView] = {}
         self._ring = registry.Ring()
-        self._search_budget = bucket.TokenBucket(
-            search_bytes_per_s, search_bytes_per_s
-        )
         self._hints: collections.OrderedDict[packets.FlowKey, Hint] = (
             collections.OrderedDict()
         )
-        self._searches: dict[packets.FlowKey, search.Search] = {}
+        self._lookups: dict[packets.FlowKey, lookup.Lookup] = {}
         self._started_at = now
         self._ticked_at = now
         self._resumed_at = now
@@ -134,10 +125,8 @@
                 self._offer_again(message, peer)
             case messages.NotHeld():
                 self._note_not_held(message, peer)
-            case messages.Found():
-                self._note_found(message, peer)
-            case messages.Located():
-                self._note_located(message, peer)
+            case messages.Sought():
+                self._note_sought(message)
         return self._actions
 
     def handle_routing(
@@ -156,11 +145,10 @@
         return self._actions
 
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
-        """Conclude searches and expire what is no longer needed."""
+        """Conclude lookups and expire what is no longer needed."""
         self._begin(now)
         self._note_pause()
-        self._search_budget.refill(now)
-        self._advance_searches()
+        self._advance_lookups()
         self._expire_hints()
         self._expire_agents()
         return self._actions
@@ -318,24 +306,24 @@
         self._log("flow_refused", packet.flow, "reason=no_capacity")
         self._send_reset(packet.flow, packet.acknowledged)
 
-    # Searches
+    # Lookups
 
     def _search_for(
         self, packet: packets.Packet, route: routing.Route
     ) -> None:
-        known = self._searches.get(packet.flow)
+        known = self._lookups.get(packet.flow)
         if known is not None and not known.is_over(self._now):
             if known.concluded or not known.add_packet(packet.data):
                 self._count(reasons.Drop.NO_TARGETS)
             return
-        if len(self._searches) >= MAX_SEARCHES:
+        if len(self._lookups) >= MAX_LOOKUPS:
             self._count(reasons.Drop.TABLE_FULL)
             return
-        self._start_search(
+        self._start_lookup(
             packet, route, without=frozenset(), wide=known is not None
         )
 
-    def _start_search(
+    def _start_lookup(
         self,
         packet: packets.Packet,
         route: routing.Route,
@@ -344,18 +332,65 @@
         wide: bool,
     ) -> None:
         services = () if wide else tuple(sorted(route.list_services()))
-        started = search.Search(
-            services, self._now, set(), packet.acknowledged, without
+        started = lookup.Lookup(
+            services, self._now, packet.acknowledged, without
         )
         started.add_packet(packet.data)
-        self._searches[packet.flow] = started
-        registrars = [] if wide else self._list_registrars(packet.flow)
-        if registrars:
-            started.locating.update(registrars)
-            for address in registrars:
-                self._send(address, messages.Locate(packet.flow))
-        else:
-            self._ask_agents(packet.flow, started)
+        self._lookups[packet.flow] = started
+        self._ask_seeker(
+            packet.flow, started, self._list_possible(services, without)
+        )
+
+    def _list_possible(
+        self,
+        services: tuple[str, ...],
+        without: frozenset[model.Endpoint],
+    ) -> list[model.Endpoint]:
+        """Return the agents that may hold flows of services."""
+        # An agent that waits for a report may hold flows of any service.
+        return sorted(
+            agent.address
+            for agent in self._agents.values()
+            if (not services or agent.announcement.service in ("", *services))
+            and not agent.announcement.vacant
+            and agent.address not in without
+            and not self._is_lost(agent.address)
+        )
+
+    def _ask_seeker(
+        self,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        possible: list[model.Endpoint],
+    ) -> None:
+        """Let an agent find out which of the possible ones holds a flow."""
+        number = wanted.ask(self._now)
+        seekers = [
+            address
+            for address in self._list_registrars(flow)
+            if not self._is_lost(address)
+        ]
+        if not possible or not seekers:
+            self._conclude_lookup(flow, wanted, nowhere=not possible)
+            return
+        seeker = seekers[wanted.attempts % len(seekers) - 1]
+        self._send_seek(seeker, flow, wanted, number, possible)
+        detail = f"seeker={seeker} possible={len(possible)}"
+        self._log("lookup_started", flow, detail)
+
+    def _send_seek(
+        self,
+        seeker: model.Endpoint,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        number: int,
+        possible: list[model.Endpoint],
+    ) -> None:
+        packed = messages.pack_endpoints(possible)
+        seek = messages.Seek(
+            flow, number, wanted.services, packed, wanted.waiting[0]
+        )
+        self._send(seeker, seek)
 
     def _list_registrars(self, flow: packets.FlowKey) -> list[model.Endpoint]:
         return self._ring.choose(routing.hash_flow(flow))
@@ -365,161 +400,91 @@
         for address in self._list_registrars(flow):
             self._send(address, messages.Register(flow, holder))
 
-    def _note_located(
-        self, message: messages.Located, peer: model.Endpoint
-    ) -> None:
-        found = self._searches.get(message.flow)
-        if found is None or peer not in found.locating:
-            return
-        holder = message.holder
-        if holder is not None and holder in self._agents:
-            self._settle(message.flow, found, holder)
-        elif found.note_unregistered(peer):
-            self._ask_agents(message.flow, found)
-
-    def _ask_agents(self, flow: packets.FlowKey, found: search.Search) -> None:
-        """Ask all agents that may hold a flow, as the budget allows."""
-        # An agent that waits for a report may hold flows of any service.
-        asked = {
-            agent.address
-            for agent in self._agents.values()
-            if (
-                not found.services
-                or agent.announcement.service in ("", *found.services)
-            )
-            and not agent.announcement.vacant
-            and agent.address not in found.without
-            and not self._is_lost(agent.address)
-        }
-        if not self._take_budget(len(asked)):
-            found.locating.clear()
-            found.delayed = True
-            return
-        found.ask(set(asked), self._now)
-        for address in sorted(asked):
-            self._send(address, messages.Find(flow, found.services))
-        self._log("search_started", flow, f"asked={len(asked)}")
-
     def _ask_late_agent(self, agent: model.Endpoint) -> None:
-        """Ask an agent that was not known when searches began."""
-        for flow, found in self._searches.items():
-            if found.waiting and found.asking and not found.tried:
-                found.unanswered.add(agent)
-                self._send(agent, messages.Find(flow, found.services))
-
-    def _read_service(self, agent: model.Endpoint) -> str:
-        """Return the service that an agent announced, empty if none."""
-        view = self._agents.get(agent)
-        return view.announcement.service if view else ""
-
-    def _take_budget(self, questions: int) -> bool:
-        """Return whether agents may be asked now."""
-        return self._search_budget.take(questions * FIND_BYTES, 0)
-
-    def _note_found(
-        self, message: messages.Found, peer: model.Endpoint
-    ) -> None:
-        found = self._searches.get(message.flow)
-        if found is None:
-            return
-        if message.holding is messages.Holding.YES:
-            self._settle(message.flow, found, peer)
-            self._register(message.flow, peer)
+        """Ask an agent that was not known when lookups began."""
+        for flow, wanted in self._lookups.items():
+            if wanted.waiting:
+                wanted.others_came = True
+                self._send_seek(agent, flow, wanted, NO_NUMBER, [agent])
+
+    def _note_sought(self, message: messages.Sought) -> None:
+        wanted = self._lookups.get(message.flow)
+        if wanted is None:
             return
-        found.note_reply(peer, message.holding)
-        self._advance_search(message.flow, found)
+        if message.holder is not None:
+            self._settle(message.flow, wanted, message.holder)
+        elif message.number == wanted.number and not wanted.concluded:
+            nowhere = message.nowhere and not wanted.others_came
+            self._conclude_lookup(message.flow, wanted, nowhere=nowhere)
 
     def _settle(
         self,
         flow: packets.FlowKey,
-        found: search.Search,
+        wanted: lookup.Lookup,
         holder: model.Endpoint,
     ) -> None:
-        del self._searches[flow]
-        service = self._read_service(holder)
+        view = self._agents.get(holder)
+        if view is None:
+            return
+        del self._lookups[flow]
+        service = view.announcement.service
         self._keep_hint(flow, Hint(service, holder, True, self._now))
-        self._log("search_settled", flow, f"agent={holder}")
-        for data in found.take_waiting():
+        self._register(flow, holder)
+        self._log("lookup_settled", flow, f"agent={holder}")
+        for data in wanted.take_waiting():
             self._send(holder, messages.Deliver(service, data))
 
-    def _advance_searches(self) -> None:
-        # Once the budget leaves no room, later searches wait their turn.
-        short = False
-        for flow, found in list(self._searches.items()):
-            if found.is_forgotten(self._now):
-                del self._searches[flow]
-            elif found.is_delayed_long(self._now):
-                self._abandon_search(flow)
-            elif found.delayed or found.is_locating_late(self._now):
-                if not short:
-                    self._ask_agents(flow, found)
-                    short = found.delayed
-            else:
-                self._advance_search(flow, found)
-
-    def _abandon_search(self, flow: packets.FlowKey) -> None:
-        """Drop what waits for a search that the budget leaves no room."""
-        del self._searches[flow]
-        self._count(reasons.Drop.TABLE_FULL)
-        self._log("search_abandoned", flow, "reason=search_budget")
-
-    def _advance_search(
-        self, flow: packets.FlowKey, found: search.Search
+    def _advance_lookups(self) -> None:
+        for flow, wanted in list(self._lookups.items()):
+            if wanted.is_forgotten(self._now):
+                del self._lookups[flow]
+            elif wanted.is_late(self._now):
+                self._repeat_lookup(flow, wanted)
+
+    def _repeat_lookup(
+        self, flow: packets.FlowKey, wanted: lookup.Lookup
     ) -> None:
-        if found.concluded or not found.asking:
+        """Ask another agent to seek a flow, or give up."""
+        if wanted.attempts >= lookup.MAX_ATTEMPTS:
+            self._conclude_lookup(flow, wanted, nowhere=False)
             return
-        if not found.is_complete(self._now):
-            return
-        if found.unsure and not found.tried:
-            self._try_unsure(found)
-        else:
-            self._conclude_search(flow, found)
-
-    def _try_unsure(self, found: search.Search) -> None:
-        """Let the unsure agents offer the packets to their targets."""
-        found.tried = True
-        for agent in sorted(found.unsure):
-            service = self._read_service(agent)
-            for data in found.waiting:
-                self._send(agent, messages.Deliver(service, data))
-
-    def _conclude_search(
-        self, flow: packets.FlowKey, found: search.Search
+        possible = self._list_possible(wanted.services, wanted.without)
+        self._ask_seeker(flow, wanted, possible)
+
+    def _conclude_lookup(
+        self,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        *,
+        nowhere: bool,
     ) -> None:
-        found.concluded = True
-        detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
-        self._log("search_failed", flow, detail)
-        self._count(reasons.Drop.NO_TARGETS)
+        wanted.concluded = True
         all_known = self._now - self._started_at >= AGENTS_KNOWN_AFTER
-        if not all_known:
-            # An agent may still announce itself and take what waits.
-            return
-        if found.is_held_nowhere() and not self._widen(flow, found):
-            self._reset(flow, found.acknowledged, "held_nowhere")
+        detail = f"nowhere={nowhere} all_known={all_known}"
+        self._log("lookup_failed", flow, detail)
+        self._count(reasons.Drop.NO_TARGETS)
+        # An agent may still announce itself and take what waits.
+        if nowhere and all_known and not self._widen(flow, wanted):
+            self._reset(flow, wanted.acknowledged, "held_nowhere")
 
-    def _widen(self, flow: packets.FlowKey, found: search.Search) -> bool:
+    def _widen(self, flow: packets.FlowKey, wanted: lookup.Lookup) -> bool:
         """Ask the agents of other services; return whether any may hold it.
 
         An entry whose routing is older than the flow does not know the
         service that the flow was opened at.
         """
-        if not found.services:
+        if not wanted.services:
             return False
-        others = {
-            agent.address
-            for agent in self._agents.values()
-            if agent.announcement.service not in ("", *found.services)
-            and not agent.announcement.vacant
-            and not self._is_lost(agent.address)
-        }
-        room = len(others) <= MAX_WIDENED
-        if not room or not self._take_budget(len(others)):
+        asked = self._list_possible(wanted.services, wanted.without)
+        others = self._list_possible((), wanted.without | frozenset(asked))
+        if len(others) > MAX_WIDENED:
             # Too many to ask for one flow; the caller is left to time out.
             return True
-        found.widen(others, self._now)
-        for address in sorted(others):
-            self._send(address, messages.Find(flow))
-        return bool(others)
+        if not others:
+            return False
+        wanted.widen()
+        self._ask_seeker(flow, wanted, others)
+        return True
 
     def _reset(
         self, flow: packets.FlowKey, acknowledged: int, reason: str
@@ -531,10 +496,9 @@
     def _note_opened(
         self, flow: packets.FlowKey, agent: model.Endpoint
     ) -> None:
-        found = self._searches.get(flow)
-        if found is not None:
-            self._settle(flow, found, agent)
-            self._register(flow, agent)
+        wanted = self._lookups.get(flow)
+        if wanted is not None:
+            self._settle(flow, wanted, agent)
             return
         hint = self._hints.get(flow)
         if hint is not None and not hint.opened:
@@ -551,11 +515,6 @@
         self, message: messages.NotHeld, peer: model.Endpoint
     ) -> None:
         """Search elsewhere for a flow that a hinted agent does not hold."""
-        known = self._searches.get(message.flow)
-        if known is not None:
-            known.note_not_held(peer)
-            self._advance_search(message.flow, known)
-            return
         hint = self._hints.get(message.flow)
         if hint is None or hint.agent != peer or self._routes is None:
             return
@@ -566,7 +525,7 @@
             return
         route = self._routes.find(message.flow.service_address)
         if route is not None:
-            self._start_search(packet, route, frozenset({peer}), wide=True)
+            self._start_lookup(packet, route, frozenset({peer}), wide=True)
 
     # Agents and hints
 
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -4,7 +4,10 @@
 the end and with a default.
 """
 
+import collections.abc
 import enum
+import ipaddress
+import struct
 import typing
 
 import msgspec
@@ -23,21 +26,23 @@
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Entry to agent: a caller's packet for the agent's target.
+    """Entry or agent to agent: a caller's packet for the agent's target.
 
     Attributes:
         service: service that the flow belongs to.
         data: the packet.
         insist: a new flow is wanted even if the target is busy.
+        trial: nobody is known to hold the flow; the sender keeps the packet.
     """
 
     service: str
     data: bytes
     insist: bool = False
+    trial: bool = False
 
 
 class Opened(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Agent to entry: the agent's target holds the flow."""
+    """Agent to entry or agent: the agent's target holds the flow."""
 
     flow: packets.FlowKey
 
@@ -61,14 +66,18 @@
 
 
 class NotHeld(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Agent to entry: a packet of a flow that the target does not hold."""
+    """Answer to ``Deliver``: the target does not hold the flow.
+
+    Attributes:
+        data: the packet; empty if it was a trial.
+    """
 
     flow: packets.FlowKey
     data: bytes
 
 
 class Find(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Entry to agents: asks whose target holds a flow.
+    """Agent to agents: asks whose target holds a flow.
 
     Attributes:
         services: services that may hold it; empty if any may.
@@ -87,7 +96,7 @@
 
 
 class Found(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Agent to entry: answer to ``Find``."""
+    """Agent to agent: answer to ``Find``."""
 
     flow: packets.FlowKey
     holding: Holding
@@ -204,17 +213,34 @@
     holder: model.Endpoint
 
 
-class Locate(msgspec.Struct, frozen=True, array_like=True, tag=14):
-    """Entry to agent: asks who holds a flow as far as was registered."""
+class Seek(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Entry to agent: asks to find out who holds a flow.
+
+    Attributes:
+        number: names the question in the answer.
+        services: services that may hold the flow; empty if any may.
+        agents: those that may hold it, see ``pack_endpoints``.
+        data: a packet of the flow.
+    """
 
     flow: packets.FlowKey
+    number: int
+    services: tuple[str, ...]
+    agents: bytes
+    data: bytes
 
 
-class Located(msgspec.Struct, frozen=True, array_like=True, tag=15):
-    """Agent to entry: answer to ``Locate``; none if not registered."""
+class Sought(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Agent to entry: answer to ``Seek``.
+
+    Attributes:
+        nowhere: every agent asked surely does not hold the flow.
+    """
 
     flow: packets.FlowKey
+    number: int
     holder: model.Endpoint | None = None
+    nowhere: bool = False
 
 
 Message = (
@@ -231,10 +257,12 @@
     | Piece
     | JoinRequest
     | Register
-    | Locate
-    | Located
+    | Seek
+    | Sought
 )
 
+PACKED_ENDPOINT = struct.Struct("!IH")
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
     Message
@@ -246,6 +274,25 @@
     return _ENCODER.encode(message)
 
 
+def pack_endpoints(
+    endpoints: collections.abc.Iterable[model.Endpoint],
+) -> bytes:
+    """Encode addresses in six bytes each."""
+    return b"".join(
+        PACKED_ENDPOINT.pack(packets.parse_host(endpoint.host), endpoint.port)
+        for endpoint in endpoints
+    )
+
+
+def unpack_endpoints(data: bytes) -> tuple[model.Endpoint, ...]:
+    """Decode addresses; an incomplete one at the end is left out."""
+    whole = len(data) - len(data) % PACKED_ENDPOINT.size
+    return tuple(
+        model.Endpoint(str(ipaddress.IPv4Address(host)), port)
+        for host, port in PACKED_ENDPOINT.iter_unpack(data[:whole])
+    )
+
+
 def decode(data: bytes, peer: str) -> Message | reasons.Failure:
     """Decode one datagram."""
     try:
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -1,13 +1,10 @@
-"""Search for the agent whose target holds a flow that an entry has no
-hint for.
+"""Search of an agent for the agent whose target holds a flow.
 
-Answers a change of the set of entries, after which most flows arrive at
-an entry that has not seen them. All agents of the flow's services are
-asked at once; packets wait meanwhile. An agent that restarted may not know
-yet what its target holds; where no agent is sure, these try their targets.
+All agents that an entry names are asked at once. One that restarted may not
+know yet what its target holds; where no agent is sure, these try the packet
+on their targets.
 """
 
-import collections.abc
 import datetime
 
 import msgspec
@@ -15,91 +12,33 @@
 from egretfork import model
 from egretfork.passthrough import messages
 
-LOCATE_LIMIT = datetime.timedelta(milliseconds=60)
-# How long a search waits for the budget.
-DELAY_LIMIT = datetime.timedelta(seconds=1)
 REPLY_LIMIT = datetime.timedelta(milliseconds=60)
 # Further time for targets to return what they do not hold.
 TRY_LIMIT = datetime.timedelta(milliseconds=60)
 NO_TIME = datetime.timedelta()
-# How long the result that nobody holds a flow stands.
-RESULT_LIMIT = datetime.timedelta(milliseconds=180)
-# How long it makes the next search a wide one.
-MEMORY_LIMIT = datetime.timedelta(seconds=2)
-MAX_WAITING = 32
 
 
 class Search(msgspec.Struct):
-    """One search in progress or just concluded.
+    """One search in progress.
 
     Attributes:
+        entry: entry that wants to know.
+        number: the entry's number of the question.
         services: services that may hold the flow; empty if any may.
-        without: agents that are known not to hold it.
-        locating: agents that have not said yet what is registered.
-        delayed: the agents are to be asked when the budget allows.
         unanswered: agents that have not replied.
-        acknowledged: number that the caller expects next.
+        packet: a packet of the flow.
         unsure: agents whose targets may hold the flow.
-        waiting: packets that arrived meanwhile.
-        tried: the unsure agents have the packets.
-        concluded: nobody is known to hold the flow.
+        tried: the unsure agents have the packet.
     """
 
+    entry: model.Endpoint
+    number: int
     services: tuple[str, ...]
     started_at: datetime.timedelta
     unanswered: set[model.Endpoint]
-    acknowledged: int
-    without: frozenset[model.Endpoint] = frozenset()
-    locating: set[model.Endpoint] = msgspec.field(default_factory=set)
-    delayed: bool = False
-    tried: bool = False
+    packet: bytes
     unsure: set[model.Endpoint] = msgspec.field(default_factory=set)
-    waiting: list[bytes] = msgspec.field(default_factory=list)
-    concluded: bool = False
-
-    def add_packet(self, data: bytes) -> bool:
-        """Let a packet wait; return whether there was room."""
-        if len(self.waiting) >= MAX_WAITING:
-            return False
-        self.waiting.append(data)
-        return True
-
-    @property
-    def asking(self) -> bool:
-        """Return whether agents have been asked whether they hold it."""
-        return not (self.locating or self.delayed)
-
-    def note_unregistered(self, agent: model.Endpoint) -> bool:
-        """Note that an agent knows no holder; return whether none does."""
-        if agent not in self.locating:
-            return False
-        self.locating.discard(agent)
-        return not self.locating
-
-    def is_locating_late(self, now: datetime.timedelta) -> bool:
-        """Return whether the registry has had its time to answer."""
-        return bool(self.locating) and now - self.started_at >= LOCATE_LIMIT
-
-    def is_delayed_long(self, now: datetime.timedelta) -> bool:
-        """Return whether the budget left the search no room."""
-        return self.delayed and now - self.started_at >= DELAY_LIMIT
-
-    def ask(self, asked: set[model.Endpoint], now: datetime.timedelta) -> None:
-        """Wait for the replies of agents."""
-        self.locating.clear()
-        self.delayed = False
-        self.unanswered = asked
-        self.started_at = now
-
-    def widen(
-        self, others: set[model.Endpoint], now: datetime.timedelta
-    ) -> None:
-        """Go on with the agents of all other services."""
-        self.services = ()
-        self.started_at = now
-        self.unanswered = others
-        self.tried = False
-        self.concluded = not others
+    tried: bool = False
 
     def note_reply(
         self, agent: model.Endpoint, holding: messages.Holding
@@ -112,7 +51,7 @@
             self.unsure.add(agent)
 
     def note_not_held(self, agent: model.Endpoint) -> None:
-        """Note that the target of an agent returned the packets."""
+        """Note that the target of an agent returned the packet."""
         self.unsure.discard(agent)
 
     def is_held_nowhere(self) -> bool:
@@ -125,16 +64,3 @@
         late = now - self.started_at >= limit
         replied = not self.unanswered and not (self.tried and self.unsure)
         return replied or late
-
-    def is_over(self, now: datetime.timedelta) -> bool:
-        """Return whether a further packet begins another search."""
-        return self.concluded and now - self.started_at >= RESULT_LIMIT
-
-    def is_forgotten(self, now: datetime.timedelta) -> bool:
-        """Return whether a further packet begins a first search."""
-        return self.concluded and now - self.started_at >= MEMORY_LIMIT
-
-    def take_waiting(self) -> collections.abc.Iterator[bytes]:
-        """Return the packets that waited, and hold none any longer."""
-        taken, self.waiting = self.waiting, []
-        return iter(taken)
