Let control list the agents that may run, also after a restart of all

Ruled out: waiting less, which would reset flows of an agent that restarts at the same moment in planned work.

Change: control keeps the agents that greeted in the last 10 s, also in a file of its data folder, and sends them to an entry that has just started. Once two control processes have sent their lists and every agent on them has announced itself, the entry is sure. A control process without a stored list sends none in its first 3 s. The file is written by a thread, at most twice a second.

Tests: an entry resets with two complete lists, not with one, nor while a listed agent is missing; lists survive a restart and a failed write; a damaged list is none; a control process that has just started claims nothing.

--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -28,6 +28,8 @@
 # Entries stay on an agent's list when control starts with an empty one.
 ENTRY_LIMIT = datetime.timedelta(seconds=15)
 MAX_CONTROLS = 16
+# For how long an entry that has started asks which agents run.
+ROSTER_WANTED_FOR = datetime.timedelta(seconds=3)
 
 
 class Pull(msgspec.Struct):
@@ -77,6 +79,8 @@
         self._listings: dict[model.Endpoint, messages.Directory] = {}
         self._greet_at = now
         self._pull: Pull | None = None
+        self._started_at = now
+        self._rosters: dict[model.Endpoint, frozenset[model.Endpoint]] = {}
         self.newest = routing.Routing()
 
     @property
@@ -89,6 +93,11 @@
         """Return the control processes that the node knows of."""
         return tuple(self._controls)
 
+    @property
+    def rosters(self) -> tuple[frozenset[model.Endpoint], ...]:
+        """Return the lists of agents that control processes sent."""
+        return tuple(self._rosters.values())
+
     def set_seeds(
         self, seeds: tuple[model.Endpoint, ...], now: datetime.timedelta
     ) -> None:
@@ -109,6 +118,9 @@
                 self._note_directory(message, peer)
             case messages.Piece():
                 self._note_piece(message, peer)
+            case messages.Roster():
+                agents = messages.unpack_endpoints(message.agents)
+                self._rosters[peer] = frozenset(agents)
         return self._actions
 
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
@@ -137,10 +149,14 @@
         return True
 
     def _greet(self) -> None:
+        young = self._now - self._started_at < ROSTER_WANTED_FOR
+        wants_roster = young and self._role is messages.Role.ENTRY
         for control in self._controls:
             listing = self._listings.get(control)
             checksum = listing.checksum if listing else 0
-            greeting = messages.Greeting(self._role, self._name, checksum)
+            greeting = messages.Greeting(
+                self._role, self._name, checksum, wants_roster
+            )
             self._send(control, greeting)
 
     def _expire(self) -> None:
--- a/src/egretfork/passthrough/directory.py
+++ b/src/egretfork/passthrough/directory.py
@@ -13,6 +13,7 @@
 from egretfork import model
 from egretfork.passthrough import actions
 from egretfork.passthrough import messages
+from egretfork.passthrough import roster
 from egretfork.passthrough import routing
 
 # Missed greetings after which a node is no longer listed.
@@ -23,7 +24,8 @@
 class DirectoryCore:
     """Answers the greetings of nodes and hands out the newest routing."""
 
-    def __init__(self) -> None:
+    def __init__(self, agents: roster.Roster) -> None:
+        self._roster = agents
         self._controls: tuple[model.Endpoint, ...] = ()
         self._entries: dict[model.Endpoint, datetime.timedelta] = {}
         self._agents: dict[model.Endpoint, datetime.timedelta] = {}
@@ -63,6 +65,7 @@
 
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
         """Forget silent nodes; tell agents when the entries change."""
+        self._roster.expire(now)
         self._entries = _drop_silent(self._entries, now)
         self._agents = _drop_silent(self._agents, now)
         listed = tuple(sorted(self._entries))
@@ -85,6 +88,10 @@
             news = self.handle_tick(now)
         elif message.role is messages.Role.AGENT:
             self._agents[peer] = now
+            self._roster.note(peer, now)
+        if message.wants_roster and self._roster.is_complete(now):
+            packed = messages.pack_endpoints(self._roster.list_agents())
+            news.append(actions.SendMessage(peer, messages.Roster(packed)))
         if message.directory == self._checksum:
             answer = messages.Directory(self._version, self._checksum)
         else:
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -39,6 +39,8 @@
 MAX_BUSY_OFFERS = 3
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
+# Control processes whose lists of agents are taken for complete.
+MIN_ROSTERS = 2
 # After this time every agent that runs has announced itself.
 AGENTS_KNOWN_AFTER = datetime.timedelta(seconds=2)
 # Routes may lead to agents that have not announced themselves yet.
@@ -84,6 +86,7 @@
         )
         self._lookups: dict[packets.FlowKey, lookup.Lookup] = {}
         self._started_at = now
+        self._rosters: tuple[frozenset[model.Endpoint], ...] = ()
         self._ticked_at = now
         self._resumed_at = now
 
@@ -144,6 +147,12 @@
         self._log_event("routing_in_force", "route", "", detail)
         return self._actions
 
+    def note_rosters(
+        self, rosters: tuple[frozenset[model.Endpoint], ...]
+    ) -> None:
+        """Take the lists of agents of control processes, one of each."""
+        self._rosters = rosters
+
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
         """Conclude lookups and expire what is no longer needed."""
         self._begin(now)
@@ -459,7 +468,7 @@
         nowhere: bool,
     ) -> None:
         wanted.concluded = True
-        all_known = self._now - self._started_at >= AGENTS_KNOWN_AFTER
+        all_known = self._knows_all_agents()
         detail = f"nowhere={nowhere} all_known={all_known}"
         self._log("lookup_failed", flow, detail)
         self._count(reasons.Drop.NO_TARGETS)
@@ -467,6 +476,14 @@
         if nowhere and all_known and not self._widen(flow, wanted):
             self._reset(flow, wanted.acknowledged, "held_nowhere")
 
+    def _knows_all_agents(self) -> bool:
+        """Return whether every agent that may run has announced itself."""
+        if self._now - self._started_at >= AGENTS_KNOWN_AFTER:
+            return True
+        if len(self._rosters) < MIN_ROSTERS:
+            return False
+        return all(agents <= self._agents.keys() for agents in self._rosters)
+
     def _widen(self, flow: packets.FlowKey, wanted: lookup.Lookup) -> bool:
         """Ask the agents of other services; return whether any may hold it.
 
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -9,6 +9,7 @@
 from egretfork.control import api
 from egretfork.control import commands
 from egretfork.control import entries
+from egretfork.control import files
 from egretfork.control import shell as control_shell
 from egretfork import datagrams
 from egretfork import logs
@@ -19,6 +20,8 @@
 from egretfork.passthrough import directory
 from egretfork.passthrough import messages
 from egretfork.passthrough import output
+from egretfork.passthrough import roster
+from egretfork.passthrough import rosterfile
 from egretfork.passthrough import routing
 from egretfork import reasons
 from egretfork import udp
@@ -26,6 +29,7 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.1
+STORE_PERIOD_S = 0.5
 # Ticks between two requests to join.
 JOIN_EVERY_TICKS = 4
 
@@ -46,6 +50,7 @@
         time: clock.Clock,
         registry: metrics.Metrics,
         sockets: udp.EarlySockets,
+        system: files.FileSystem,
     ) -> None:
         super().__init__()
         self._address = address
@@ -54,7 +59,10 @@
         self._contact = contact_core
         self._time = time
         self._registry = registry
-        self._core = directory.DirectoryCore()
+        self._system = system
+        self._roster = roster.Roster(rosterfile.load(system), time.now())
+        self._stored = self._roster.list_agents()
+        self._core = directory.DirectoryCore(self._roster)
         self._socket = datagrams.DatagramService(
             address,
             self._on_datagram,
@@ -135,6 +143,19 @@
             count += 1
             await asyncio.sleep(TICK_S)
 
+    @mode.Service.task
+    async def _store_roster(self) -> None:
+        """Keep the stored list of agents up to date."""
+        while not self.should_stop:
+            agents = self._roster.list_agents()
+            if agents != self._stored:
+                # A slow disk must not hold up what else the process does.
+                if await asyncio.to_thread(
+                    rosterfile.store, self._system, agents
+                ):
+                    self._stored = agents
+            await asyncio.sleep(STORE_PERIOD_S)
+
     def _follow_members(self, control: control_shell.ControlService) -> None:
         members = control.decisions.consensus.log.members
         self._core.set_controls(
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -149,11 +149,13 @@
 
     Attributes:
         directory: checksum of the directory that the node holds.
+        wants_roster: the node has just started and asks who runs.
     """
 
     role: Role
     name: str
     directory: int
+    wants_roster: bool = False
 
 
 class Directory(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -243,6 +245,16 @@
     nowhere: bool = False
 
 
+class Roster(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Control to entry: agents that may run.
+
+    Attributes:
+        agents: see ``pack_endpoints``.
+    """
+
+    agents: bytes
+
+
 Message = (
     Deliver
     | Opened
@@ -259,6 +271,7 @@
     | Register
     | Seek
     | Sought
+    | Roster
 )
 
 PACKED_ENDPOINT = struct.Struct("!IH")
--- /dev/null
+++ b/src/egretfork/passthrough/rosterfile.py
@@ -0,0 +1,59 @@
+"""File of control's list of agents, with a checksum."""
+
+import logging
+import zlib
+
+from egretfork.control import files
+from egretfork import logs
+from egretfork import model
+from egretfork.passthrough import messages
+
+LOGGER = logging.getLogger(__name__)
+
+FILE_NAME = "roster"
+NEW_FILE_NAME = "roster.new"
+CHECKSUM_BYTES = 4
+
+
+def load(system: files.FileSystem) -> tuple[model.Endpoint, ...] | None:
+    """Return the stored list, none if there is none that can be read."""
+    try:
+        data = system.read(FILE_NAME) or b""
+    except OSError as error:
+        _log_failure("load", error)
+        return None
+    content = data[CHECKSUM_BYTES:]
+    if not data or data[:CHECKSUM_BYTES] != _compute_checksum(content):
+        return None
+    return messages.unpack_endpoints(content)
+
+
+def store(
+    system: files.FileSystem, agents: tuple[model.Endpoint, ...]
+) -> bool:
+    """Replace the stored list; return whether it is durable."""
+    content = messages.pack_endpoints(agents)
+    try:
+        system.write(NEW_FILE_NAME, _compute_checksum(content) + content)
+        system.sync(NEW_FILE_NAME)
+        system.rename(NEW_FILE_NAME, FILE_NAME)
+        system.sync_folder()
+    except OSError as error:
+        # The list only saves time after a restart.
+        _log_failure("store", error)
+        return False
+    return True
+
+
+def _compute_checksum(content: bytes) -> bytes:
+    return zlib.crc32(content).to_bytes(CHECKSUM_BYTES, "big")
+
+
+def _log_failure(step: str, error: OSError) -> None:
+    logs.write(
+        LOGGER,
+        "roster_failed",
+        step=f"{step} roster",
+        detail=str(error),
+        level=logging.WARNING,
+    )
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -24,7 +24,11 @@
 PROBE_LIMIT_S = 0.5
 
 # Messages that control sends to a node; all others come from nodes.
-CONTROL_MESSAGES = (messages.Directory, messages.Piece)
+CONTROL_MESSAGES = (
+    messages.Directory,
+    messages.Piece,
+    messages.Roster,
+)
 
 
 class NodeCore(typing.Protocol):
@@ -174,7 +178,8 @@
             self.outer.resume()
 
     def follow_contact(self) -> None:
-        """Put a newer routing in force."""
+        """Put a newer routing in force; learn which agents run."""
+        self._entry.note_rosters(self.contact.rosters)
         newest = self.contact.newest
         if newest.version > self._entry.version:
             now = self.time.now()
--- a/tests/passthrough/test_contact.py
+++ b/tests/passthrough/test_contact.py
@@ -9,6 +9,7 @@
 from egretfork.passthrough import directory
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import roster
 from egretfork.passthrough import routing
 from tests.passthrough import support
 
@@ -41,7 +42,8 @@
         self._loss = loss
         self._generator = random.Random(1)
         self.controls = {
-            address: directory.DirectoryCore() for address in CONTROLS
+            address: directory.DirectoryCore(roster.Roster(None, self.now))
+            for address in CONTROLS
         }
         for core in self.controls.values():
             core.set_controls(CONTROLS)
@@ -157,7 +159,7 @@
         nodes = Nodes(CONTROLS, 0)
         nodes.run(1200)
         for address in CONTROLS:
-            core = directory.DirectoryCore()
+            core = directory.DirectoryCore(roster.Roster(None, nodes.now))
             core.set_controls(CONTROLS)
             nodes.controls[address] = core
         nodes.nodes[AGENT].handle_tick(nodes.now)
@@ -171,6 +173,36 @@
         nodes.carry_out(entry.handle_tick(nodes.now), ENTRY)
         self.assertEqual(nodes.nodes[AGENT].entries, (ENTRY,))
 
+    def test_control_that_has_just_started_claims_no_roster(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        nodes.run(1200)
+        self.assertEqual(nodes.nodes[ENTRY].rosters, ())
+
+    def test_an_entry_that_starts_later_learns_the_agents(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        entry = nodes.nodes.pop(ENTRY)
+        nodes.run(4000)
+        nodes.nodes[ENTRY] = contact.ContactCore(
+            messages.Role.ENTRY, "entry", CONTROLS, nodes.now
+        )
+        self.assertEqual(entry.rosters, ())
+        nodes.run(100)
+        rosters = nodes.nodes[ENTRY].rosters
+        self.assertEqual(rosters, (frozenset({AGENT}),) * len(CONTROLS))
+
+    def test_a_stored_roster_is_complete_at_once(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        other = model.Endpoint("10.0.2.2", 3)
+        for address in CONTROLS:
+            stored = roster.Roster((other,), nodes.now)
+            core = directory.DirectoryCore(stored)
+            core.set_controls(CONTROLS)
+            nodes.controls[address] = core
+        nodes.run(100)
+        rosters = nodes.nodes[ENTRY].rosters
+        self.assertEqual(len(rosters), len(CONTROLS))
+        self.assertTrue(all(other in agents for agents in rosters))
+
     def test_a_silent_entry_is_forgotten(self) -> None:
         nodes = Nodes(CONTROLS, 0)
         nodes.run(1200)
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -190,6 +190,33 @@
         kinds = {packet.kind for packet in network.to_callers}
         self.assertNotIn("reset", kinds)
 
+    def tell_rosters(
+        self, network: support.Network, listed: int, controls: int = 2
+    ) -> None:
+        """Tell the newest entry of the first agents as all there are."""
+        agents = frozenset(support.agent_address(n) for n in range(listed))
+        network.entries[-1].note_rosters((agents,) * controls)
+
+    def test_a_reset_by_an_entry_that_has_heard_all_agents(self) -> None:
+        for listed, controls, kinds in (
+            (3, 2, {"reset"}),
+            (3, 1, set()),
+            (4, 2, set()),
+        ):
+            with self.subTest(listed=listed, controls=controls):
+                network = start(entries=1)
+                open_flow(network)
+                self.lose_all_flows(network)
+                network.add_entry()
+                for number in network.agents:
+                    network.list_entries(number)
+                self.tell_rosters(network, listed, controls)
+                network.to_callers.clear()
+                network.send(1, support.WirePacket(FLOW, "data", 1))
+                network.advance(300)
+                sent = {packet.kind for packet in network.to_callers}
+                self.assertEqual(sent, kinds)
+
     def test_a_packet_waits_until_the_holder_announces_itself(self) -> None:
         network = start(entries=1)
         holder = open_flow(network)
--- /dev/null
+++ b/tests/passthrough/test_roster.py
@@ -0,0 +1,63 @@
+"""The list of agents survives a loss of power, and damage is noticed."""
+
+import logging
+import unittest
+
+from egretfork.passthrough import roster
+from egretfork.passthrough import rosterfile
+from tests.control import fakes
+from tests.passthrough import support
+
+AGENTS = tuple(support.agent_address(number) for number in range(3))
+
+
+class RosterTest(unittest.TestCase):
+    """Guards against lists that leave out an agent that runs."""
+
+    def test_a_restarting_agent_stays_listed(self) -> None:
+        listed = roster.Roster(None, support.at(0))
+        listed.note(AGENTS[0], support.at(0))
+        listed.expire(support.at(9_000))
+        self.assertEqual(listed.list_agents(), AGENTS[:1])
+        listed.expire(support.at(10_000))
+        self.assertEqual(listed.list_agents(), ())
+
+    def test_a_start_without_a_list_waits_for_greetings(self) -> None:
+        listed = roster.Roster(None, support.at(0))
+        self.assertFalse(listed.is_complete(support.at(2_900)))
+        self.assertTrue(listed.is_complete(support.at(3_000)))
+        stored = roster.Roster((), support.at(0))
+        self.assertTrue(stored.is_complete(support.at(0)))
+
+
+class StoredRosterTest(unittest.TestCase):
+    """Guards against a list that is not the one that was stored."""
+
+    def setUp(self) -> None:
+        self.system = fakes.FakeFileSystem()
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_a_list_is_read_again(self) -> None:
+        self.assertIsNone(rosterfile.load(self.system))
+        self.assertTrue(rosterfile.store(self.system, AGENTS[:2]))
+        self.assertTrue(rosterfile.store(self.system, AGENTS))
+        self.assertEqual(rosterfile.load(self.system), AGENTS)
+
+    def test_a_failed_write_leaves_the_earlier_list(self) -> None:
+        rosterfile.store(self.system, AGENTS[:2])
+        self.system.failures = 1
+        self.assertFalse(rosterfile.store(self.system, AGENTS))
+        self.assertEqual(rosterfile.load(self.system), AGENTS[:2])
+
+    def test_a_damaged_list_is_no_list(self) -> None:
+        rosterfile.store(self.system, AGENTS)
+        data = self.system.read(rosterfile.FILE_NAME) or b""
+        for damaged in (data[:-1], data[1:], b"", b"123"):
+            with self.subTest(damaged=damaged):
+                self.system.write(rosterfile.FILE_NAME, damaged)
+                self.assertIsNone(rosterfile.load(self.system))
+
+
+if __name__ == "__main__":
+    unittest.main()
