Keep what an entry knows of agents in a module of its own

Cause: the entry's core held agents, hints, offers and lookups in 700 lines, and told apart lost and unknown agents in two places.

No change of behaviour: the 75 tests of passed-through flows, of the processes and of the pages pass.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -13,12 +13,12 @@
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import agents
 from egretfork.passthrough import basis
 from egretfork.passthrough import lookup
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import placement
-from egretfork.passthrough import registry
 from egretfork.passthrough import routing
 from egretfork import reasons
 
@@ -29,20 +29,10 @@
 MAX_WIDENED = 256
 # Question whose negative answer decides nothing.
 NO_NUMBER = 0
-AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
-# An agent that restarts is heard again within this time; the flows of one
-# that is not are given up.
-AGENT_LOST_AFTER = datetime.timedelta(seconds=2)
-# A longer pause between two ticks means that the entry itself stood still.
-PAUSE_LIMIT = datetime.timedelta(milliseconds=500)
 # Offers after which a flow is opened at a busy target too.
 MAX_BUSY_OFFERS = 3
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
-# Control processes whose lists of agents are taken for complete.
-MIN_ROSTERS = 2
-# After this time every agent that runs has announced itself.
-AGENTS_KNOWN_AFTER = datetime.timedelta(seconds=2)
 # Routes may lead to agents that have not announced themselves yet.
 READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
 # For how long packets wait for the agents of all services, and for a routing.
@@ -79,16 +69,12 @@
         self._availability_zone = availability_zone
         self._routes: routing.RouteTable | None = None
         self._routed_at = now
-        self._agents: dict[model.Endpoint, placement.AgentView] = {}
-        self._ring = registry.Ring()
+        self._agents = agents.KnownAgents(now)
         self._hints: collections.OrderedDict[packets.FlowKey, Hint] = (
             collections.OrderedDict()
         )
         self._lookups: dict[packets.FlowKey, lookup.Lookup] = {}
         self._started_at = now
-        self._rosters: tuple[frozenset[model.Endpoint], ...] = ()
-        self._ticked_at = now
-        self._resumed_at = now
 
     @property
     def version(self) -> int:
@@ -151,15 +137,15 @@
         self, rosters: tuple[frozenset[model.Endpoint], ...]
     ) -> None:
         """Take the lists of agents of control processes, one of each."""
-        self._rosters = rosters
+        self._agents.note_rosters(rosters)
 
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
         """Conclude lookups and expire what is no longer needed."""
         self._begin(now)
-        self._note_pause()
         self._advance_lookups()
         self._expire_hints()
-        self._expire_agents()
+        for address in self._agents.handle_tick(now):
+            self._log_event("agent_silent", "follow agents", str(address), "")
         return self._actions
 
     def is_ready(self, now: datetime.timedelta) -> bool:
@@ -177,7 +163,7 @@
     ) -> bool:
         if self._routes is None:
             return False
-        known = {agent.announcement.service for agent in self._agents.values()}
+        known = self._agents.list_services()
         complete = self._routes.list_services() <= known
         return complete or now - self._routed_at >= limit
 
@@ -197,7 +183,7 @@
             self._open(packet, route, hint)
         elif hint is None:
             self._search_for(packet, route)
-        elif self._is_lost(hint.agent):
+        elif self._agents.is_lost(hint.agent, self._now):
             del self._hints[packet.flow]
             reason = f"agent_silent agent={hint.agent}"
             self._reset(packet.flow, packet.acknowledged, reason)
@@ -271,14 +257,8 @@
         service: str,
         offered: list[model.Endpoint],
     ) -> placement.AgentView | None:
-        agents = [
-            agent
-            for agent in self._agents.values()
-            if agent.announcement.service == service
-            and agent.address not in offered
-        ]
         return placement.choose_agent(
-            agents,
+            self._agents.list_of_service(service, offered),
             self._availability_zone,
             routing.hash_flow(flow),
             self._now,
@@ -346,24 +326,11 @@
         )
         started.add_packet(packet.data)
         self._lookups[packet.flow] = started
-        self._ask_seeker(
-            packet.flow, started, self._list_possible(services, without)
-        )
+        self._ask_seeker(packet.flow, started, self._list_possible(started))
 
-    def _list_possible(
-        self,
-        services: tuple[str, ...],
-        without: frozenset[model.Endpoint],
-    ) -> list[model.Endpoint]:
-        """Return the agents that may hold flows of services."""
-        # An agent that waits for a report may hold flows of any service.
-        return sorted(
-            agent.address
-            for agent in self._agents.values()
-            if (not services or agent.announcement.service in ("", *services))
-            and not agent.announcement.vacant
-            and agent.address not in without
-            and not self._is_lost(agent.address)
+    def _list_possible(self, wanted: lookup.Lookup) -> list[model.Endpoint]:
+        return self._agents.list_possible(
+            wanted.services, wanted.without, self._now
         )
 
     def _ask_seeker(
@@ -377,7 +344,7 @@
         seekers = [
             address
             for address in self._list_registrars(flow)
-            if not self._is_lost(address)
+            if not self._agents.is_lost(address, self._now)
         ]
         if not possible or not seekers:
             self._conclude_lookup(flow, wanted, nowhere=not possible)
@@ -402,7 +369,7 @@
         self._send(seeker, seek)
 
     def _list_registrars(self, flow: packets.FlowKey) -> list[model.Endpoint]:
-        return self._ring.choose(routing.hash_flow(flow))
+        return self._agents.list_registrars(routing.hash_flow(flow))
 
     def _register(self, flow: packets.FlowKey, holder: model.Endpoint) -> None:
         """Let two agents know who holds a flow, for other entries."""
@@ -432,7 +399,7 @@
         wanted: lookup.Lookup,
         holder: model.Endpoint,
     ) -> None:
-        view = self._agents.get(holder)
+        view = self._agents.find(holder)
         if view is None:
             return
         del self._lookups[flow]
@@ -457,7 +424,7 @@
         if wanted.attempts >= lookup.MAX_ATTEMPTS:
             self._conclude_lookup(flow, wanted, nowhere=False)
             return
-        possible = self._list_possible(wanted.services, wanted.without)
+        possible = self._list_possible(wanted)
         self._ask_seeker(flow, wanted, possible)
 
     def _conclude_lookup(
@@ -468,7 +435,7 @@
         nowhere: bool,
     ) -> None:
         wanted.concluded = True
-        all_known = self._knows_all_agents()
+        all_known = self._agents.are_all_known(self._now)
         detail = f"nowhere={nowhere} all_known={all_known}"
         self._log("lookup_failed", flow, detail)
         self._count(reasons.Drop.NO_TARGETS)
@@ -476,14 +443,6 @@
         if nowhere and all_known and not self._widen(flow, wanted):
             self._reset(flow, wanted.acknowledged, "held_nowhere")
 
-    def _knows_all_agents(self) -> bool:
-        """Return whether every agent that may run has announced itself."""
-        if self._now - self._started_at >= AGENTS_KNOWN_AFTER:
-            return True
-        if len(self._rosters) < MIN_ROSTERS:
-            return False
-        return all(agents <= self._agents.keys() for agents in self._rosters)
-
     def _widen(self, flow: packets.FlowKey, wanted: lookup.Lookup) -> bool:
         """Ask the agents of other services; return whether any may hold it.
 
@@ -492,8 +451,9 @@
         """
         if not wanted.services:
             return False
-        asked = self._list_possible(wanted.services, wanted.without)
-        others = self._list_possible((), wanted.without | frozenset(asked))
+        asked = self._list_possible(wanted)
+        without = wanted.without | frozenset(asked)
+        others = self._agents.list_possible((), without, self._now)
         if len(others) > MAX_WIDENED:
             # Too many to ask for one flow; the caller is left to time out.
             return True
@@ -546,46 +506,14 @@
 
     # Agents and hints
 
-    def _is_lost(self, address: model.Endpoint) -> bool:
-        """Return whether an agent has been silent for longer than a restart.
-
-        Time in which the entry itself stood still does not count.
-        """
-        agent = self._agents.get(address)
-        if agent is None:
-            return True
-        silent_since = max(agent.heard_at, self._resumed_at)
-        return self._now - silent_since >= agent.stretch(AGENT_LOST_AFTER)
-
-    def _note_pause(self) -> None:
-        if self._now - self._ticked_at >= PAUSE_LIMIT:
-            self._resumed_at = self._now
-        self._ticked_at = self._now
-
     def _note_announcement(
         self, message: messages.Announcement, peer: model.Endpoint
     ) -> None:
-        known = self._agents.get(peer)
-        if message.state is messages.TargetState.ENDED and message.stopping:
-            if self._agents.pop(peer, None) is not None:
-                self._ring.remove(peer)
-            self._log_agent(peer, message)
-            return
-        if known is None:
-            view = placement.AgentView(peer, message, self._now)
-            self._agents[peer] = view
-            self._ring.add(peer)
+        change = self._agents.note(message, peer, self._now)
+        if change is not agents.Change.NONE:
             self._log_agent(peer, message)
+        if change is agents.Change.NEW:
             self._ask_late_agent(peer)
-            return
-        before = known.announcement
-        if known.is_overtaken_by(message, self._now):
-            known.note(message, self._now)
-            if (before.state, before.service) != (
-                message.state,
-                message.service,
-            ):
-                self._log_agent(peer, message)
 
     def _keep_hint(self, flow: packets.FlowKey, hint: Hint) -> None:
         self._hints[flow] = hint
@@ -600,17 +528,6 @@
                 return
             del self._hints[flow]
 
-    def _expire_agents(self) -> None:
-        silent = [
-            address
-            for address, agent in self._agents.items()
-            if self._now - agent.heard_at >= agent.stretch(AGENT_SILENCE_LIMIT)
-        ]
-        for address in silent:
-            del self._agents[address]
-            self._ring.remove(address)
-            self._log_event("agent_silent", "follow agents", str(address), "")
-
     # Output
 
     def _log_offer(
