Take agents that have ended off control's list

The stored list held agents whose machines had been taken away before the fault: they stay on it for 10 s, counted anew from the start of control.

Change: an agent that stops after its target has ended signs off at control; a silent agent is listed for 4 s, more than a restart takes.

Tests: an agent that signs off is on no list of a later entry.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -191,6 +191,10 @@
         self._announce()
         return self._actions
 
+    def is_vacant(self, now: datetime.timedelta) -> bool:
+        """Return whether the target has surely ended."""
+        return self._target.has_ended(now)
+
     def handle_entries(
         self, entries: tuple[model.Endpoint, ...], now: datetime.timedelta
     ) -> list[actions.Action]:
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -137,6 +137,14 @@
             self._repeat_pull(pull)
         return self._actions
 
+    def handle_end(self, now: datetime.timedelta) -> list[actions.Action]:
+        """Tell control that the node ends for good."""
+        self._begin(now)
+        farewell = messages.Greeting(self._role, self._name, 0, ends=True)
+        for control in self._controls:
+            self._send(control, farewell)
+        return self._actions
+
     # Greetings
 
     def _is_informed(self) -> bool:
--- a/src/egretfork/passthrough/directory.py
+++ b/src/egretfork/passthrough/directory.py
@@ -86,6 +86,10 @@
         if message.role is messages.Role.ENTRY:
             self._entries[peer] = now
             news = self.handle_tick(now)
+        elif message.role is messages.Role.AGENT and message.ends:
+            self._agents.pop(peer, None)
+            self._roster.forget(peer)
+            return []
         elif message.role is messages.Role.AGENT:
             self._agents[peer] = now
             self._roster.note(peer, now)
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -150,12 +150,14 @@
     Attributes:
         directory: checksum of the directory that the node holds.
         wants_roster: the node has just started and asks who runs.
+        ends: the node stops, and holds no flow that others look for.
     """
 
     role: Role
     name: str
     directory: int
     wants_roster: bool = False
+    ends: bool = False
 
 
 class Directory(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/src/egretfork/passthrough/roster.py
+++ b/src/egretfork/passthrough/roster.py
@@ -10,7 +10,7 @@
 
 from egretfork import model
 
-SILENCE_LIMIT = datetime.timedelta(seconds=10)
+SILENCE_LIMIT = datetime.timedelta(seconds=4)
 # After this time every agent that runs has greeted a control process.
 GREETED_AFTER = datetime.timedelta(seconds=3)
 
@@ -35,6 +35,10 @@
         """Note that an agent has greeted."""
         self._heard[agent] = now
 
+    def forget(self, agent: model.Endpoint) -> None:
+        """Note that an agent has ended for good."""
+        self._heard.pop(agent, None)
+
     def expire(self, now: datetime.timedelta) -> None:
         """Forget agents that have been silent for too long."""
         self._heard = {
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -224,8 +224,11 @@
         self._probing = False
 
     async def on_stop(self) -> None:
-        """Tell the entries that the process ends."""
-        self.output.carry_out(self._agent.handle_stop(self.time.now()))
+        """Tell the entries, and control if the target has ended, too."""
+        now = self.time.now()
+        self.output.carry_out(self._agent.handle_stop(now))
+        if self._agent.is_vacant(now):
+            self.output.carry_out(self.contact.handle_end(now))
 
     def _start_probe(self) -> None:
         if not self._probing:
--- a/tests/passthrough/test_contact.py
+++ b/tests/passthrough/test_contact.py
@@ -190,6 +190,18 @@
         rosters = nodes.nodes[ENTRY].rosters
         self.assertEqual(rosters, (frozenset({AGENT}),) * len(CONTROLS))
 
+    def test_an_agent_whose_target_has_ended_signs_off(self) -> None:
+        nodes = Nodes(CONTROLS, 0)
+        nodes.run(4000)
+        agent = nodes.nodes.pop(AGENT)
+        nodes.carry_out(agent.handle_end(nodes.now), AGENT)
+        nodes.nodes[ENTRY] = contact.ContactCore(
+            messages.Role.ENTRY, "entry", CONTROLS, nodes.now
+        )
+        nodes.run(100)
+        rosters = nodes.nodes[ENTRY].rosters
+        self.assertEqual(rosters, (frozenset(),) * len(CONTROLS))
+
     def test_a_stored_roster_is_complete_at_once(self) -> None:
         nodes = Nodes(CONTROLS, 0)
         other = model.Endpoint("10.0.2.2", 3)
