--- a/tests/platform/test_early.py
+++ b/tests/platform/test_early.py
@@ -78,6 +78,24 @@
         )
         self.assertEqual(done.stdout.strip(), "[]")
 
+    def test_asyncio_works_without_tls(self) -> None:
+        code = (
+            "import sys; from egretfork import lean;"
+            " lean.import_asyncio_without_tls();"
+            " import asyncio, mode, h11;"
+            " loaded = 'ssl' in sys.modules;"
+            " asyncio.run(asyncio.sleep(0));"
+            " import ssl, prometheus_client; print(loaded)"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            env={"PYTHONPATH": str(ROOT / "src")},
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(done.stdout.strip(), "False")
+
 
 if __name__ == "__main__":
     unittest.main()
