Ask every agent that was not asked before a flow counts as lost

Cause: found by reading. The second question of a lookup went to the agents that do not serve the route at that instant. An agent that changed to the route's service between the two questions was in neither, so that its flow could be reset.

Change: a lookup keeps the agents it asked; the second question names all others.

Test: an agent that announces the route's service while the first question is on its way; the flow was reset before, and is not now.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -349,6 +349,7 @@
         if not possible or not seekers:
             self._conclude_lookup(flow, wanted, nowhere=not possible)
             return
+        wanted.asked |= frozenset(possible)
         seeker = seekers[wanted.attempts % len(seekers) - 1]
         self._send_seek(seeker, flow, wanted, number, possible)
         detail = f"seeker={seeker} possible={len(possible)}"
@@ -451,8 +452,7 @@
         """
         if not wanted.services:
             return False
-        asked = self._list_possible(wanted)
-        without = wanted.without | frozenset(asked)
+        without = wanted.without | wanted.asked
         others = self._agents.list_possible((), without, self._now)
         if len(others) > MAX_WIDENED:
             # Too many to ask for one flow; the caller is left to time out.
--- a/src/egretfork/passthrough/lookup.py
+++ b/src/egretfork/passthrough/lookup.py
@@ -26,6 +26,7 @@
         asked_at: instant of the newest question.
         acknowledged: number that the caller expects next.
         without: agents that are known not to hold the flow.
+        asked: agents that were named in a question.
         number: counts the questions; answers to earlier ones say nothing
             about where the flow is not.
         attempts: agents that were made to seek the flow.
@@ -38,6 +39,7 @@
     asked_at: datetime.timedelta
     acknowledged: int
     without: frozenset[model.Endpoint] = frozenset()
+    asked: frozenset[model.Endpoint] = frozenset()
     number: int = 0
     attempts: int = 0
     others_came: bool = False
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -149,6 +149,29 @@
             target.held.clear()
             network.restart_agent(number)
 
+    def test_no_reset_before_an_agent_of_another_service_is_asked(
+        self,
+    ) -> None:
+        network = start(("old", "new", "new"))
+        network.route(support.build_routing(2, "old"))
+        network.lost.add(messages.Register)
+        holder = open_flow(network)
+        network.route(support.build_routing(3, "new"))
+        network.advance(2000)
+        core, seeker = network.entries[1], support.agent_address(1)
+        packet = support.encode(support.WirePacket(FLOW, "data", 1))
+        core.handle_packet(packet, network.now)
+        # Meanwhile the holder's agent announces the route's service.
+        announcement = messages.Announcement(
+            "agent-0", "zone-a", 10**9, 1, "new", messages.TargetState.READY
+        )
+        holding_agent = support.agent_address(holder)
+        core.handle_message(announcement, holding_agent, network.now)
+        sought = messages.Sought(FLOW, 1, nowhere=True)
+        wanted = core.handle_message(sought, seeker, network.now)
+        kinds = [type(action) for action in wanted]
+        self.assertNotIn(actions.SendToCaller, kinds)
+
     def test_a_flow_that_nobody_holds_is_reset(self) -> None:
         network = start()
         open_flow(network)
