--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -19,6 +19,7 @@
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import recency
+from egretfork.passthrough import seeker
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
 from egretfork import reasons
@@ -54,9 +55,10 @@
 
     entry: model.Endpoint
     opens: bool
+    trial: bool
 
 
-class AgentCore(basis.Core):
+class AgentCore(basis.FlowCore):
     """Forwards packets between entries, callers and one target."""
 
     def __init__(
@@ -66,14 +68,14 @@
         lease: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        super().__init__(now)
+        super().__init__(codec, now)
         self._identity = identity
-        self._codec = codec
         self._target = target.TargetLease(lease)
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT)
         self._started_at = now
         self._knows_all_flows = False
         self._entries: tuple[model.Endpoint, ...] = ()
+        self._seeker = seeker.Seeker(now)
         self._pending: collections.OrderedDict[int, _PendingReturn] = (
             collections.OrderedDict()
         )
@@ -83,6 +85,7 @@
         self._sequence = 0
         self._announce_at = now
         self._announced = messages.TargetState.UNKNOWN
+        self._announced_vacant = False
         self._stopping = False
 
     # Events
@@ -93,13 +96,16 @@
         peer: model.Endpoint,
         now: datetime.timedelta,
     ) -> list[actions.Action]:
-        """Process a message of an entry."""
+        """Process a message of an entry or of another agent."""
         self._begin(now)
-        if isinstance(message, messages.Deliver):
-            self._deliver(message, peer)
-        elif isinstance(message, messages.Find):
-            holding = self._check_holding(message.flow, message.services)
-            self._send(peer, messages.Found(message.flow, holding))
+        match message:
+            case messages.Deliver():
+                self._deliver(message, peer)
+            case messages.Find():
+                holding = self._check_holding(message.flow, message.services)
+                self._send(peer, messages.Found(message.flow, holding))
+            case _:
+                return self._seeker.handle_message(message, peer, now)
         return self._actions
 
     def handle_target_packet(
@@ -126,6 +132,7 @@
         if change is target.Change.REPLACED:
             self._end_flows("target started", report.identifier)
         if change in (target.Change.FIRST, target.Change.REPLACED):
+            self._suspicion.note_heard()
             # A target that has only just begun to report holds no flow
             # that this agent has not seen.
             fresh = report.sequence <= 1
@@ -150,6 +157,7 @@
         """Announce the target and expire what is no longer needed."""
         self._begin(now)
         self.flows.expire(now)
+        self._actions += self._seeker.handle_tick(now)
         if now - self._started_at >= FLOW_IDLE_LIMIT:
             self._knows_all_flows = True
         if self._target.has_ended(now) and len(self.flows):
@@ -171,6 +179,7 @@
         detail = f"nothing listens, report={self._describe_report()}"
         self._log_event("target_dead", "follow target", "", detail)
         self._target.note_death()
+        self._knows_all_flows = True
         self._end_flows("target dead", "")
         self._announce_change()
         return self._actions
@@ -182,6 +191,10 @@
         self._announce()
         return self._actions
 
+    def is_vacant(self, now: datetime.timedelta) -> bool:
+        """Return whether the target has surely ended."""
+        return self._target.has_ended(now)
+
     def handle_entries(
         self, entries: tuple[model.Endpoint, ...], now: datetime.timedelta
     ) -> list[actions.Action]:
@@ -210,7 +223,7 @@
             insist = message.insist
             self._open(packet, message.service, entry, insist=insist)
         else:
-            self._continue(packet, message.service, entry)
+            self._continue(packet, message.service, entry, message.trial)
 
     def _is_busy(self) -> bool:
         """Return whether another request would have to wait."""
@@ -242,7 +255,11 @@
         self._send_to_target(packet, entry)
 
     def _continue(
-        self, packet: packets.Packet, service: str, entry: model.Endpoint
+        self,
+        packet: packets.Packet,
+        service: str,
+        entry: model.Endpoint,
+        trial: bool,
     ) -> None:
         if self.flows.has_ended(packet.flow):
             self._reset(packet)
@@ -252,7 +269,7 @@
             services = (service,) if service else ()
             holding = self._check_holding(packet.flow, services)
             if holding is messages.Holding.NO:
-                self._refuse_packet(packet, entry)
+                self._refuse_packet(packet, entry, trial)
                 return
             held = self.flows.add(
                 packet.flow, flowtable.Stage.TRIED, entry, self._now
@@ -260,7 +277,7 @@
         held.entry = entry
         self.flows.touch(packet.flow, held, self._now)
         self._note_from_caller(packet, held)
-        self._send_to_target(packet, entry)
+        self._send_to_target(packet, entry, trial)
 
     def _note_from_caller(
         self, packet: packets.Packet, held: flowtable.HeldFlow
@@ -288,12 +305,15 @@
         return messages.Holding.UNSURE
 
     def _send_to_target(
-        self, packet: packets.Packet, entry: model.Endpoint
+        self,
+        packet: packets.Packet,
+        entry: model.Endpoint,
+        trial: bool = False,
     ) -> None:
         tag = self._next_tag
         self._next_tag = tag % MAX_TAG + 1
         self._suspicion.note_sent(self._now)
-        self._pending[tag] = _PendingReturn(entry, packet.opens)
+        self._pending[tag] = _PendingReturn(entry, packet.opens, trial)
         if len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
         data = self._codec.write_tag(packet.data, tag)
@@ -310,10 +330,11 @@
         self._send(entry, messages.Declined(packet.flow, reason, packet.data))
 
     def _refuse_packet(
-        self, packet: packets.Packet, entry: model.Endpoint
+        self, packet: packets.Packet, entry: model.Endpoint, trial: bool
     ) -> None:
         self._count(reasons.Drop.UNMATCHED_ANSWER)
-        self._send(entry, messages.NotHeld(packet.flow, packet.data))
+        data = b"" if trial else packet.data
+        self._send(entry, messages.NotHeld(packet.flow, data))
 
     def _reset(self, packet: packets.Packet) -> None:
         """Tell a caller that the target of its flow has ended."""
@@ -322,10 +343,6 @@
         self._log("flow_reset", packet.flow, "the target has ended")
         self._send_reset(packet.flow, packet.acknowledged)
 
-    def _send_reset(self, flow: packets.FlowKey, acknowledged: int) -> None:
-        data = self._codec.build_reset(flow, acknowledged)
-        self._actions.append(actions.SendToCaller(flow, data))
-
     # Packets of the target
 
     def _take_back(self, packet: packets.Packet) -> None:
@@ -343,7 +360,7 @@
             )
         else:
             self._log("packet_returned", packet.flow, "not held by target")
-            self._refuse_packet(original, pending.entry)
+            self._refuse_packet(original, pending.entry, pending.trial)
 
     def _pass_answer(self, packet: packets.Packet) -> None:
         held = self.flows.find(packet.flow)
@@ -412,7 +429,9 @@
     # Announcements
 
     def _announce_change(self) -> None:
-        if self._target.read_state(self._now) is not self._announced:
+        state = self._target.read_state(self._now)
+        vacant = self._target.has_ended(self._now)
+        if (state, vacant) != (self._announced, self._announced_vacant):
             self._announce()
 
     def _announce(self) -> None:
@@ -421,6 +440,7 @@
 
     def _announce_to(self, entries: tuple[model.Endpoint, ...]) -> None:
         self._announced = self._target.read_state(self._now)
+        self._announced_vacant = self._target.has_ended(self._now)
         self._sequence += 1
         announcement = self._build_announcement()
         for entry in entries:
@@ -446,6 +466,7 @@
             stopping=self._stopping,
             recent=round(self._recent.read(self._now), 1),
             period_ms=self._compute_period() // MILLISECOND,
+            vacant=self._announced_vacant,
         )
 
     # Output
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -1,8 +1,8 @@
 """Decisions of an entry for flows whose content it cannot read.
 
 An entry holds hints, never the truth: which agent has a flow is known to
-the agents. A packet with no hint starts a search; an agent that does not
-hold the flow hands the packet back.
+the agents. For a packet with no hint an agent looks for the holder; an agent
+that does not hold the flow hands the packet back.
 """
 
 import collections
@@ -13,33 +13,31 @@
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import agents
 from egretfork.passthrough import basis
+from egretfork.passthrough import lookup
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import placement
 from egretfork.passthrough import routing
-from egretfork.passthrough import search
 from egretfork import reasons
 
 HINT_IDLE_LIMIT = datetime.timedelta(seconds=60)
 MAX_HINTS = 100_000
-MAX_SEARCHES = 4_096
+MAX_LOOKUPS = 4_096
 # Agents of other services that are asked for one flow.
 MAX_WIDENED = 256
-AGENT_SILENCE_LIMIT = datetime.timedelta(seconds=10)
-# An agent that restarts is heard again within this time; the flows of one
-# that is not are given up.
-AGENT_LOST_AFTER = datetime.timedelta(seconds=2)
-# A longer pause between two ticks means that the entry itself stood still.
-PAUSE_LIMIT = datetime.timedelta(milliseconds=500)
+# Question whose negative answer decides nothing.
+NO_NUMBER = 0
 # Offers after which a flow is opened at a busy target too.
 MAX_BUSY_OFFERS = 3
 # Agents that are offered a new flow before its caller is refused.
 MAX_OFFERS = 6
-# After this time every agent that runs has announced itself.
-AGENTS_KNOWN_AFTER = datetime.timedelta(seconds=2)
 # Routes may lead to agents that have not announced themselves yet.
 READY_WAIT_MAX = datetime.timedelta(milliseconds=1500)
+# For how long packets wait for the agents of all services, and for a routing.
+READ_WAIT_MAX = datetime.timedelta(milliseconds=500)
+ROUTING_WAIT_MAX = datetime.timedelta(seconds=1)
 
 
 class Hint(msgspec.Struct):
@@ -58,7 +56,7 @@
     offered: list[model.Endpoint] = msgspec.field(default_factory=list)
 
 
-class EntryCore(basis.Core):
+class EntryCore(basis.FlowCore):
     """Forwards callers' packets to agents."""
 
     def __init__(
@@ -67,19 +65,16 @@
         codec: packets.Codec,
         now: datetime.timedelta,
     ) -> None:
-        super().__init__(now)
+        super().__init__(codec, now)
         self._availability_zone = availability_zone
-        self._codec = codec
         self._routes: routing.RouteTable | None = None
         self._routed_at = now
-        self._agents: dict[model.Endpoint, placement.AgentView] = {}
+        self._agents = agents.KnownAgents(now)
         self._hints: collections.OrderedDict[packets.FlowKey, Hint] = (
             collections.OrderedDict()
         )
-        self._searches: dict[packets.FlowKey, search.Search] = {}
+        self._lookups: dict[packets.FlowKey, lookup.Lookup] = {}
         self._started_at = now
-        self._ticked_at = now
-        self._resumed_at = now
 
     @property
     def version(self) -> int:
@@ -119,8 +114,8 @@
                 self._offer_again(message, peer)
             case messages.NotHeld():
                 self._note_not_held(message, peer)
-            case messages.Found():
-                self._note_found(message, peer)
+            case messages.Sought():
+                self._note_sought(message)
         return self._actions
 
     def handle_routing(
@@ -138,26 +133,39 @@
         self._log_event("routing_in_force", "route", "", detail)
         return self._actions
 
+    def note_rosters(
+        self, rosters: tuple[frozenset[model.Endpoint], ...]
+    ) -> None:
+        """Take the lists of agents of control processes, one of each."""
+        self._agents.note_rosters(rosters)
+
     def handle_tick(self, now: datetime.timedelta) -> list[actions.Action]:
-        """Conclude searches and expire what is no longer needed."""
+        """Conclude lookups and expire what is no longer needed."""
         self._begin(now)
-        self._note_pause()
-        for flow, found in list(self._searches.items()):
-            if found.is_forgotten(now):
-                del self._searches[flow]
-            else:
-                self._advance_search(flow, found)
+        self._advance_lookups()
         self._expire_hints()
-        self._expire_agents()
+        for address in self._agents.handle_tick(now):
+            self._log_event("agent_silent", "follow agents", str(address), "")
         return self._actions
 
     def is_ready(self, now: datetime.timedelta) -> bool:
         """Return whether callers' packets can be forwarded."""
+        return self._knows_services(now, READY_WAIT_MAX)
+
+    def may_read(self, now: datetime.timedelta) -> bool:
+        """Return whether packets that wait since the start may be read."""
+        if self._routes is None:
+            return now - self._started_at >= ROUTING_WAIT_MAX
+        return self._knows_services(now, READ_WAIT_MAX)
+
+    def _knows_services(
+        self, now: datetime.timedelta, limit: datetime.timedelta
+    ) -> bool:
         if self._routes is None:
             return False
-        known = {agent.announcement.service for agent in self._agents.values()}
+        known = self._agents.list_services()
         complete = self._routes.list_services() <= known
-        return complete or now - self._routed_at >= READY_WAIT_MAX
+        return complete or now - self._routed_at >= limit
 
     # Packets
 
@@ -175,7 +183,7 @@
             self._open(packet, route, hint)
         elif hint is None:
             self._search_for(packet, route)
-        elif self._is_lost(hint.agent):
+        elif self._agents.is_lost(hint.agent, self._now):
             del self._hints[packet.flow]
             reason = f"agent_silent agent={hint.agent}"
             self._reset(packet.flow, packet.acknowledged, reason)
@@ -249,14 +257,8 @@
         service: str,
         offered: list[model.Endpoint],
     ) -> placement.AgentView | None:
-        agents = [
-            agent
-            for agent in self._agents.values()
-            if agent.announcement.service == service
-            and agent.address not in offered
-        ]
         return placement.choose_agent(
-            agents,
+            self._agents.list_of_service(service, offered),
             self._availability_zone,
             routing.hash_flow(flow),
             self._now,
@@ -291,27 +293,26 @@
         """Reject a flow that no target can take, before it has opened."""
         self._count(reasons.Refusal.NO_CAPACITY)
         self._log("flow_refused", packet.flow, "reason=no_capacity")
-        data = self._codec.build_reset(packet.flow, packet.acknowledged)
-        self._actions.append(actions.SendToCaller(packet.flow, data))
+        self._send_reset(packet.flow, packet.acknowledged)
 
-    # Searches
+    # Lookups
 
     def _search_for(
         self, packet: packets.Packet, route: routing.Route
     ) -> None:
-        known = self._searches.get(packet.flow)
+        known = self._lookups.get(packet.flow)
         if known is not None and not known.is_over(self._now):
             if known.concluded or not known.add_packet(packet.data):
                 self._count(reasons.Drop.NO_TARGETS)
             return
-        if len(self._searches) >= MAX_SEARCHES:
+        if len(self._lookups) >= MAX_LOOKUPS:
             self._count(reasons.Drop.TABLE_FULL)
             return
-        self._start_search(
+        self._start_lookup(
             packet, route, without=frozenset(), wide=known is not None
         )
 
-    def _start_search(
+    def _start_lookup(
         self,
         packet: packets.Packet,
         route: routing.Route,
@@ -320,133 +321,167 @@
         wide: bool,
     ) -> None:
         services = () if wide else tuple(sorted(route.list_services()))
-        # An agent that waits for a report may hold flows of any service.
-        asked = {
-            agent.address
-            for agent in self._agents.values()
-            if (wide or agent.announcement.service in ("", *services))
-            and agent.address not in without
-            and not self._is_lost(agent.address)
-        }
-        started = search.Search(
-            services, self._now, set(asked), packet.acknowledged
+        started = lookup.Lookup(
+            services, self._now, packet.acknowledged, without
         )
         started.add_packet(packet.data)
-        self._searches[packet.flow] = started
-        for address in sorted(asked):
-            self._send(address, messages.Find(packet.flow, services))
-        self._log("search_started", packet.flow, f"asked={len(asked)}")
+        self._lookups[packet.flow] = started
+        self._ask_seeker(packet.flow, started, self._list_possible(started))
 
-    def _ask_late_agent(self, agent: model.Endpoint) -> None:
-        """Ask an agent that was not known when searches began."""
-        for flow, found in self._searches.items():
-            if found.waiting and not found.tried:
-                found.unanswered.add(agent)
-                self._send(agent, messages.Find(flow, found.services))
-
-    def _read_service(self, agent: model.Endpoint) -> str:
-        """Return the service that an agent announced, empty if none."""
-        view = self._agents.get(agent)
-        return view.announcement.service if view else ""
-
-    def _note_found(
-        self, message: messages.Found, peer: model.Endpoint
+    def _list_possible(self, wanted: lookup.Lookup) -> list[model.Endpoint]:
+        return self._agents.list_possible(
+            wanted.services, wanted.without, self._now
+        )
+
+    def _ask_seeker(
+        self,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        possible: list[model.Endpoint],
     ) -> None:
-        found = self._searches.get(message.flow)
-        if found is None:
+        """Let an agent find out which of the possible ones holds a flow."""
+        number = wanted.ask(self._now)
+        seekers = [
+            address
+            for address in self._list_registrars(flow)
+            if not self._agents.is_lost(address, self._now)
+        ]
+        if not possible or not seekers:
+            self._conclude_lookup(flow, wanted, nowhere=not possible)
             return
-        if message.holding is messages.Holding.YES:
-            self._settle(message.flow, found, peer)
+        wanted.asked |= frozenset(possible)
+        seeker = seekers[wanted.attempts % len(seekers) - 1]
+        self._send_seek(seeker, flow, wanted, number, possible)
+        detail = f"seeker={seeker} possible={len(possible)}"
+        self._log("lookup_started", flow, detail)
+
+    def _send_seek(
+        self,
+        seeker: model.Endpoint,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        number: int,
+        possible: list[model.Endpoint],
+    ) -> None:
+        packed = messages.pack_endpoints(possible)
+        seek = messages.Seek(
+            flow, number, wanted.services, packed, wanted.waiting[0]
+        )
+        self._send(seeker, seek)
+
+    def _list_registrars(self, flow: packets.FlowKey) -> list[model.Endpoint]:
+        return self._agents.list_registrars(routing.hash_flow(flow))
+
+    def _register(self, flow: packets.FlowKey, holder: model.Endpoint) -> None:
+        """Let two agents know who holds a flow, for other entries."""
+        for address in self._list_registrars(flow):
+            self._send(address, messages.Register(flow, holder))
+
+    def _ask_late_agent(self, agent: model.Endpoint) -> None:
+        """Ask an agent that was not known when lookups began."""
+        for flow, wanted in self._lookups.items():
+            if wanted.waiting:
+                wanted.others_came = True
+                self._send_seek(agent, flow, wanted, NO_NUMBER, [agent])
+
+    def _note_sought(self, message: messages.Sought) -> None:
+        wanted = self._lookups.get(message.flow)
+        if wanted is None:
             return
-        found.note_reply(peer, message.holding)
-        self._advance_search(message.flow, found)
+        if message.holder is not None:
+            self._settle(message.flow, wanted, message.holder)
+        elif message.number == wanted.number and not wanted.concluded:
+            nowhere = message.nowhere and not wanted.others_came
+            self._conclude_lookup(message.flow, wanted, nowhere=nowhere)
 
     def _settle(
         self,
         flow: packets.FlowKey,
-        found: search.Search,
+        wanted: lookup.Lookup,
         holder: model.Endpoint,
     ) -> None:
-        del self._searches[flow]
-        service = self._read_service(holder)
+        view = self._agents.find(holder)
+        if view is None:
+            return
+        del self._lookups[flow]
+        service = view.announcement.service
         self._keep_hint(flow, Hint(service, holder, True, self._now))
-        self._log("search_settled", flow, f"agent={holder}")
-        for data in found.take_waiting():
+        self._register(flow, holder)
+        self._log("lookup_settled", flow, f"agent={holder}")
+        for data in wanted.take_waiting():
             self._send(holder, messages.Deliver(service, data))
 
-    def _advance_search(
-        self, flow: packets.FlowKey, found: search.Search
+    def _advance_lookups(self) -> None:
+        for flow, wanted in list(self._lookups.items()):
+            if wanted.is_forgotten(self._now):
+                del self._lookups[flow]
+            elif wanted.is_late(self._now):
+                self._repeat_lookup(flow, wanted)
+
+    def _repeat_lookup(
+        self, flow: packets.FlowKey, wanted: lookup.Lookup
     ) -> None:
-        if found.concluded or not found.is_complete(self._now):
+        """Ask another agent to seek a flow, or give up."""
+        if wanted.attempts >= lookup.MAX_ATTEMPTS:
+            self._conclude_lookup(flow, wanted, nowhere=False)
             return
-        if found.unsure and not found.tried:
-            self._try_unsure(found)
-        else:
-            self._conclude_search(flow, found)
-
-    def _try_unsure(self, found: search.Search) -> None:
-        """Let the unsure agents offer the packets to their targets."""
-        found.tried = True
-        for agent in sorted(found.unsure):
-            service = self._read_service(agent)
-            for data in found.waiting:
-                self._send(agent, messages.Deliver(service, data))
-
-    def _conclude_search(
-        self, flow: packets.FlowKey, found: search.Search
+        possible = self._list_possible(wanted)
+        self._ask_seeker(flow, wanted, possible)
+
+    def _conclude_lookup(
+        self,
+        flow: packets.FlowKey,
+        wanted: lookup.Lookup,
+        *,
+        nowhere: bool,
     ) -> None:
-        found.concluded = True
-        detail = f"unsure={len(found.unsure)} silent={len(found.unanswered)}"
-        self._log("search_failed", flow, detail)
+        wanted.concluded = True
+        all_known = self._agents.are_all_known(self._now)
+        detail = f"nowhere={nowhere} all_known={all_known}"
+        self._log("lookup_failed", flow, detail)
         self._count(reasons.Drop.NO_TARGETS)
-        all_known = self._now - self._started_at >= AGENTS_KNOWN_AFTER
-        if not all_known:
-            # An agent may still announce itself and take what waits.
-            return
-        if found.is_held_nowhere() and not self._widen(flow, found):
-            self._reset(flow, found.acknowledged, "held_nowhere")
+        # An agent may still announce itself and take what waits.
+        if nowhere and all_known and not self._widen(flow, wanted):
+            self._reset(flow, wanted.acknowledged, "held_nowhere")
 
-    def _widen(self, flow: packets.FlowKey, found: search.Search) -> bool:
+    def _widen(self, flow: packets.FlowKey, wanted: lookup.Lookup) -> bool:
         """Ask the agents of other services; return whether any may hold it.
 
         An entry whose routing is older than the flow does not know the
         service that the flow was opened at.
         """
-        if not found.services:
+        if not wanted.services:
             return False
-        others = {
-            agent.address
-            for agent in self._agents.values()
-            if agent.announcement.service not in ("", *found.services)
-            and not self._is_lost(agent.address)
-        }
+        without = wanted.without | wanted.asked
+        others = self._agents.list_possible((), without, self._now)
         if len(others) > MAX_WIDENED:
             # Too many to ask for one flow; the caller is left to time out.
             return True
-        found.widen(others, self._now)
-        for address in sorted(others):
-            self._send(address, messages.Find(flow))
-        return bool(others)
+        if not others:
+            return False
+        wanted.widen()
+        self._ask_seeker(flow, wanted, others)
+        return True
 
     def _reset(
         self, flow: packets.FlowKey, acknowledged: int, reason: str
     ) -> None:
         """Tell a caller that its flow is lost."""
         self._log("flow_reset", flow, f"reason={reason}")
-        data = self._codec.build_reset(flow, acknowledged)
-        self._actions.append(actions.SendToCaller(flow, data))
+        self._send_reset(flow, acknowledged)
 
     def _note_opened(
         self, flow: packets.FlowKey, agent: model.Endpoint
     ) -> None:
-        found = self._searches.get(flow)
-        if found is not None:
-            self._settle(flow, found, agent)
+        wanted = self._lookups.get(flow)
+        if wanted is not None:
+            self._settle(flow, wanted, agent)
             return
         hint = self._hints.get(flow)
         if hint is not None and not hint.opened:
             hint.agent = agent
             hint.opened = True
+            self._register(flow, agent)
             self._actions.append(
                 actions.ObserveLatency(
                     metrics.Latency.FLOW_OPENING, self._now - hint.used_at
@@ -457,11 +492,6 @@
         self, message: messages.NotHeld, peer: model.Endpoint
     ) -> None:
         """Search elsewhere for a flow that a hinted agent does not hold."""
-        known = self._searches.get(message.flow)
-        if known is not None:
-            known.note_not_held(peer)
-            self._advance_search(message.flow, known)
-            return
         hint = self._hints.get(message.flow)
         if hint is None or hint.agent != peer or self._routes is None:
             return
@@ -472,48 +502,18 @@
             return
         route = self._routes.find(message.flow.service_address)
         if route is not None:
-            self._start_search(packet, route, frozenset({peer}), wide=True)
+            self._start_lookup(packet, route, frozenset({peer}), wide=True)
 
     # Agents and hints
 
-    def _is_lost(self, address: model.Endpoint) -> bool:
-        """Return whether an agent has been silent for longer than a restart.
-
-        Time in which the entry itself stood still does not count.
-        """
-        agent = self._agents.get(address)
-        if agent is None:
-            return True
-        silent_since = max(agent.heard_at, self._resumed_at)
-        return self._now - silent_since >= agent.stretch(AGENT_LOST_AFTER)
-
-    def _note_pause(self) -> None:
-        if self._now - self._ticked_at >= PAUSE_LIMIT:
-            self._resumed_at = self._now
-        self._ticked_at = self._now
-
     def _note_announcement(
         self, message: messages.Announcement, peer: model.Endpoint
     ) -> None:
-        known = self._agents.get(peer)
-        if message.state is messages.TargetState.ENDED and message.stopping:
-            self._agents.pop(peer, None)
-            self._log_agent(peer, message)
-            return
-        if known is None:
-            view = placement.AgentView(peer, message, self._now)
-            self._agents[peer] = view
+        change = self._agents.note(message, peer, self._now)
+        if change is not agents.Change.NONE:
             self._log_agent(peer, message)
+        if change is agents.Change.NEW:
             self._ask_late_agent(peer)
-            return
-        before = known.announcement
-        if known.is_overtaken_by(message, self._now):
-            known.note(message, self._now)
-            if (before.state, before.service) != (
-                message.state,
-                message.service,
-            ):
-                self._log_agent(peer, message)
 
     def _keep_hint(self, flow: packets.FlowKey, hint: Hint) -> None:
         self._hints[flow] = hint
@@ -528,16 +528,6 @@
                 return
             del self._hints[flow]
 
-    def _expire_agents(self) -> None:
-        silent = [
-            address
-            for address, agent in self._agents.items()
-            if self._now - agent.heard_at >= agent.stretch(AGENT_SILENCE_LIMIT)
-        ]
-        for address in silent:
-            del self._agents[address]
-            self._log_event("agent_silent", "follow agents", str(address), "")
-
     # Output
 
     def _log_offer(
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -4,7 +4,10 @@
 the end and with a default.
 """
 
+import collections.abc
 import enum
+import ipaddress
+import struct
 import typing
 
 import msgspec
@@ -23,21 +26,23 @@
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Entry to agent: a caller's packet for the agent's target.
+    """Entry or agent to agent: a caller's packet for the agent's target.
 
     Attributes:
         service: service that the flow belongs to.
         data: the packet.
         insist: a new flow is wanted even if the target is busy.
+        trial: nobody is known to hold the flow; the sender keeps the packet.
     """
 
     service: str
     data: bytes
     insist: bool = False
+    trial: bool = False
 
 
 class Opened(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Agent to entry: the agent's target holds the flow."""
+    """Agent to entry or agent: the agent's target holds the flow."""
 
     flow: packets.FlowKey
 
@@ -61,14 +66,18 @@
 
 
 class NotHeld(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Agent to entry: a packet of a flow that the target does not hold."""
+    """Answer to ``Deliver``: the target does not hold the flow.
+
+    Attributes:
+        data: the packet; empty if it was a trial.
+    """
 
     flow: packets.FlowKey
     data: bytes
 
 
 class Find(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Entry to agents: asks whose target holds a flow.
+    """Agent to agents: asks whose target holds a flow.
 
     Attributes:
         services: services that may hold it; empty if any may.
@@ -87,7 +96,7 @@
 
 
 class Found(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Agent to entry: answer to ``Find``."""
+    """Agent to agent: answer to ``Find``."""
 
     flow: packets.FlowKey
     holding: Holding
@@ -115,6 +124,7 @@
         stopping: the agent's process is about to end.
         recent: flows opened lately, and more for each that the target
             broke off; fades within seconds.
+        vacant: there is no target, so that the agent holds no flow.
         period_ms: time until the next announcement at the latest.
     """
 
@@ -131,6 +141,7 @@
     stopping: bool = False
     period_ms: int = 200
     recent: float = 0.0
+    vacant: bool = False
 
 
 class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -138,11 +149,15 @@
 
     Attributes:
         directory: checksum of the directory that the node holds.
+        wants_roster: the node has just started and asks who runs.
+        ends: the node stops, and holds no flow that others look for.
     """
 
     role: Role
     name: str
     directory: int
+    wants_roster: bool = False
+    ends: bool = False
 
 
 class Directory(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -195,6 +210,53 @@
     address: model.Endpoint
 
 
+class Register(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Entry to agent: keep for other entries who holds a flow."""
+
+    flow: packets.FlowKey
+    holder: model.Endpoint
+
+
+class Seek(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Entry to agent: asks to find out who holds a flow.
+
+    Attributes:
+        number: names the question in the answer.
+        services: services that may hold the flow; empty if any may.
+        agents: those that may hold it, see ``pack_endpoints``.
+        data: a packet of the flow.
+    """
+
+    flow: packets.FlowKey
+    number: int
+    services: tuple[str, ...]
+    agents: bytes
+    data: bytes
+
+
+class Sought(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Agent to entry: answer to ``Seek``.
+
+    Attributes:
+        nowhere: every agent asked surely does not hold the flow.
+    """
+
+    flow: packets.FlowKey
+    number: int
+    holder: model.Endpoint | None = None
+    nowhere: bool = False
+
+
+class Roster(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Control to entry: agents that may run.
+
+    Attributes:
+        agents: see ``pack_endpoints``.
+    """
+
+    agents: bytes
+
+
 Message = (
     Deliver
     | Opened
@@ -208,8 +270,14 @@
     | PieceRequest
     | Piece
     | JoinRequest
+    | Register
+    | Seek
+    | Sought
+    | Roster
 )
 
+PACKED_ENDPOINT = struct.Struct("!IH")
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
     Message
@@ -221,6 +289,25 @@
     return _ENCODER.encode(message)
 
 
+def pack_endpoints(
+    endpoints: collections.abc.Iterable[model.Endpoint],
+) -> bytes:
+    """Encode addresses in six bytes each."""
+    return b"".join(
+        PACKED_ENDPOINT.pack(packets.parse_host(endpoint.host), endpoint.port)
+        for endpoint in endpoints
+    )
+
+
+def unpack_endpoints(data: bytes) -> tuple[model.Endpoint, ...]:
+    """Decode addresses; an incomplete one at the end is left out."""
+    whole = len(data) - len(data) % PACKED_ENDPOINT.size
+    return tuple(
+        model.Endpoint(str(ipaddress.IPv4Address(host)), port)
+        for host, port in PACKED_ENDPOINT.iter_unpack(data[:whole])
+    )
+
+
 def decode(data: bytes, peer: str) -> Message | reasons.Failure:
     """Decode one datagram."""
     try:
--- a/src/egretfork/passthrough/search.py
+++ b/src/egretfork/passthrough/search.py
@@ -1,13 +1,10 @@
-"""Search for the agent whose target holds a flow that an entry has no
-hint for.
+"""Search of an agent for the agent whose target holds a flow.
 
-Answers a change of the set of entries, after which most flows arrive at
-an entry that has not seen them. All agents of the flow's services are
-asked at once; packets wait meanwhile. An agent that restarted may not know
-yet what its target holds; where no agent is sure, these try their targets.
+All agents that an entry names are asked at once. One that restarted may not
+know yet what its target holds; where no agent is sure, these try the packet
+on their targets.
 """
 
-import collections.abc
 import datetime
 
 import msgspec
@@ -19,51 +16,29 @@
 # Further time for targets to return what they do not hold.
 TRY_LIMIT = datetime.timedelta(milliseconds=60)
 NO_TIME = datetime.timedelta()
-# How long the result that nobody holds a flow stands.
-RESULT_LIMIT = datetime.timedelta(milliseconds=180)
-# How long it makes the next search a wide one.
-MEMORY_LIMIT = datetime.timedelta(seconds=2)
-MAX_WAITING = 32
 
 
 class Search(msgspec.Struct):
-    """One search in progress or just concluded.
+    """One search in progress.
 
     Attributes:
+        entry: entry that wants to know.
+        number: the entry's number of the question.
         services: services that may hold the flow; empty if any may.
         unanswered: agents that have not replied.
-        acknowledged: number that the caller expects next.
+        packet: a packet of the flow.
         unsure: agents whose targets may hold the flow.
-        waiting: packets that arrived meanwhile.
-        tried: the unsure agents have the packets.
-        concluded: nobody is known to hold the flow.
+        tried: the unsure agents have the packet.
     """
 
+    entry: model.Endpoint
+    number: int
     services: tuple[str, ...]
     started_at: datetime.timedelta
     unanswered: set[model.Endpoint]
-    acknowledged: int
-    tried: bool = False
+    packet: bytes
     unsure: set[model.Endpoint] = msgspec.field(default_factory=set)
-    waiting: list[bytes] = msgspec.field(default_factory=list)
-    concluded: bool = False
-
-    def add_packet(self, data: bytes) -> bool:
-        """Let a packet wait; return whether there was room."""
-        if len(self.waiting) >= MAX_WAITING:
-            return False
-        self.waiting.append(data)
-        return True
-
-    def widen(
-        self, others: set[model.Endpoint], now: datetime.timedelta
-    ) -> None:
-        """Go on with the agents of all other services."""
-        self.services = ()
-        self.started_at = now
-        self.unanswered = others
-        self.tried = False
-        self.concluded = not others
+    tried: bool = False
 
     def note_reply(
         self, agent: model.Endpoint, holding: messages.Holding
@@ -76,7 +51,7 @@
             self.unsure.add(agent)
 
     def note_not_held(self, agent: model.Endpoint) -> None:
-        """Note that the target of an agent returned the packets."""
+        """Note that the target of an agent returned the packet."""
         self.unsure.discard(agent)
 
     def is_held_nowhere(self) -> bool:
@@ -89,16 +64,3 @@
         late = now - self.started_at >= limit
         replied = not self.unanswered and not (self.tried and self.unsure)
         return replied or late
-
-    def is_over(self, now: datetime.timedelta) -> bool:
-        """Return whether a further packet begins another search."""
-        return self.concluded and now - self.started_at >= RESULT_LIMIT
-
-    def is_forgotten(self, now: datetime.timedelta) -> bool:
-        """Return whether a further packet begins a first search."""
-        return self.concluded and now - self.started_at >= MEMORY_LIMIT
-
-    def take_waiting(self) -> collections.abc.Iterator[bytes]:
-        """Return the packets that waited, and hold none any longer."""
-        taken, self.waiting = self.waiting, []
-        return iter(taken)
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -1,5 +1,6 @@
 """Stand-ins for the tests of passed-through flows."""
 
+import collections
 import dataclasses
 import datetime
 
@@ -145,24 +146,32 @@
     Attributes:
         to_callers: packets that reached callers, by flow.
         unreachable: addresses whose messages are lost.
+        lost: types of messages that are lost.
+        sent: messages that were sent, by type.
     """
 
-    def __init__(self, services: tuple[str, ...], entry_count: int) -> None:
+    def __init__(
+        self,
+        services: tuple[str, ...],
+        entry_count: int,
+    ) -> None:
         self.now = at(0)
-        self.entries = [
-            entry.EntryCore("zone-a", FakeCodec(), self.now)
-            for _ in range(entry_count)
-        ]
+        self.entries = [self._build_entry() for _ in range(entry_count)]
         self.agents: dict[int, agent.AgentCore] = {}
         self.services = services
         self.targets = [FakeTarget() for _ in services]
         self._routing = routing.Routing()
         self.to_callers: list[WirePacket] = []
         self.unreachable: set[model.Endpoint] = set()
+        self.lost: set[type] = set()
+        self.sent: collections.Counter[type] = collections.Counter()
         self._sequence = 0
         for number in range(len(services)):
             self.restart_agent(number)
 
+    def _build_entry(self) -> entry.EntryCore:
+        return entry.EntryCore("zone-a", FakeCodec(), self.now)
+
     def restart_agent(self, number: int, clock_ms: int = 0) -> None:
         """Start an agent that knows nothing, beside its old target.
 
@@ -179,12 +188,12 @@
         """Tell an agent of all entries."""
         addresses = tuple(entry_address(i) for i in range(len(self.entries)))
         wanted = self.agents[number].handle_entries(addresses, self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
 
     def stop_agent(self, number: int) -> None:
         """Stop an agent for good."""
         wanted = self.agents[number].handle_stop(self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
         del self.agents[number]
 
     def report(self, number: int, *, leaving: bool = False) -> None:
@@ -197,7 +206,7 @@
             leaving=leaving,
         )
         wanted = self.agents[number].handle_report(report, self.now)
-        self._carry_out(wanted, agent_address(number))
+        self.carry_out(wanted, agent_address(number))
 
     def advance(self, milliseconds: float, *, reports: bool = True) -> None:
         """Let time pass with reports and ticks each 100 ms."""
@@ -216,21 +225,21 @@
 
     def add_entry(self) -> None:
         """Start another entry, which no agent has heard of."""
-        core = entry.EntryCore("zone-a", FakeCodec(), self.now)
+        core = self._build_entry()
         core.handle_routing(self._routing, self.now)
         self.entries.append(core)
 
     def send(self, number: int, packet: WirePacket) -> None:
         """Let a caller's packet arrive at an entry."""
         wanted = self.entries[number].handle_packet(encode(packet), self.now)
-        self._carry_out(wanted, entry_address(number))
+        self.carry_out(wanted, entry_address(number))
 
     def break_off(self, number: int, flow: packets.FlowKey) -> None:
         """Let a target reset a flow."""
         reset = encode(WirePacket(flow, "reset"))
         core = self.agents[number]
         wanted = core.handle_target_packet(reset, self.now)
-        self._carry_out(list(wanted), agent_address(number))
+        self.carry_out(list(wanted), agent_address(number))
 
     def list_holders(self, flow: packets.FlowKey) -> list[int]:
         """Return the targets that hold a flow."""
@@ -243,14 +252,15 @@
     def _tick(self) -> None:
         for number, core in self.agents.items():
             wanted = core.handle_tick(self.now)
-            self._carry_out(wanted, agent_address(number))
+            self.carry_out(wanted, agent_address(number))
         for number, entry_core in enumerate(self.entries):
             wanted = entry_core.handle_tick(self.now)
-            self._carry_out(wanted, entry_address(number))
+            self.carry_out(wanted, entry_address(number))
 
-    def _carry_out(
+    def carry_out(
         self, wanted: list[actions.Action], source: model.Endpoint
     ) -> None:
+        """Carry out the actions of the core at an address."""
         for action in wanted:
             match action:
                 case actions.SendMessage():
@@ -266,18 +276,21 @@
     ) -> None:
         if {action.peer, source} & self.unreachable:
             return
+        self.sent[type(action.message)] += 1
+        if type(action.message) in self.lost:
+            return
         decoded = messages.decode(messages.encode(action.message), "")
         assert not isinstance(decoded, reasons.Failure)
         number = action.peer.port
         if action.peer.host == AGENT_HOST and number not in self.agents:
             return
         core: agent.AgentCore | entry.EntryCore = (
-            self.entries[number]
+            self.entries[number - FIRST_ENTRY_PORT]
             if action.peer.host == ENTRY_HOST
             else self.agents[number]
         )
         result = core.handle_message(decoded, source, self.now)
-        self._carry_out(list(result), action.peer)
+        self.carry_out(list(result), action.peer)
 
     def _pass_to_target(
         self, action: actions.SendToTarget, source: model.Endpoint
@@ -286,16 +299,18 @@
         if answer is not None:
             core = self.agents[source.port]
             wanted = core.handle_target_packet(answer, self.now)
-            self._carry_out(list(wanted), source)
+            self.carry_out(list(wanted), source)
 
 
 ENTRY_HOST = "10.0.0.1"
 AGENT_HOST = "10.0.0.2"
+# Port 0 stands for no entry.
+FIRST_ENTRY_PORT = 1
 
 
 def entry_address(number: int) -> model.Endpoint:
     """Return the address of an entry."""
-    return model.Endpoint(ENTRY_HOST, number)
+    return model.Endpoint(ENTRY_HOST, FIRST_ENTRY_PORT + number)
 
 
 def agent_address(number: int) -> model.Endpoint:
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -127,6 +127,7 @@
     def test_a_repeated_search_asks_every_agent(self) -> None:
         network = start(("old", "old", "new"))
         network.route(support.build_routing(2, "old"))
+        network.lost.add(messages.Register)
         holder = open_flow(network)
         network.route(support.build_routing(3, "new"))
         network.send(1, support.WirePacket(FLOW, "data", 100))
@@ -148,6 +149,29 @@
             target.held.clear()
             network.restart_agent(number)
 
+    def test_no_reset_before_an_agent_of_another_service_is_asked(
+        self,
+    ) -> None:
+        network = start(("old", "new", "new"))
+        network.route(support.build_routing(2, "old"))
+        network.lost.add(messages.Register)
+        holder = open_flow(network)
+        network.route(support.build_routing(3, "new"))
+        network.advance(2000)
+        core, seeker = network.entries[1], support.agent_address(1)
+        packet = support.encode(support.WirePacket(FLOW, "data", 1))
+        core.handle_packet(packet, network.now)
+        # Meanwhile the holder's agent announces the route's service.
+        announcement = messages.Announcement(
+            "agent-0", "zone-a", 10**9, 1, "new", messages.TargetState.READY
+        )
+        holding_agent = support.agent_address(holder)
+        core.handle_message(announcement, holding_agent, network.now)
+        sought = messages.Sought(FLOW, 1, nowhere=True)
+        wanted = core.handle_message(sought, seeker, network.now)
+        kinds = [type(action) for action in wanted]
+        self.assertNotIn(actions.SendToCaller, kinds)
+
     def test_a_flow_that_nobody_holds_is_reset(self) -> None:
         network = start()
         open_flow(network)
@@ -189,6 +213,33 @@
         kinds = {packet.kind for packet in network.to_callers}
         self.assertNotIn("reset", kinds)
 
+    def tell_rosters(
+        self, network: support.Network, listed: int, controls: int = 2
+    ) -> None:
+        """Tell the newest entry of the first agents as all there are."""
+        agents = frozenset(support.agent_address(n) for n in range(listed))
+        network.entries[-1].note_rosters((agents,) * controls)
+
+    def test_a_reset_by_an_entry_that_has_heard_all_agents(self) -> None:
+        for listed, controls, kinds in (
+            (3, 2, {"reset"}),
+            (3, 1, set()),
+            (4, 2, set()),
+        ):
+            with self.subTest(listed=listed, controls=controls):
+                network = start(entries=1)
+                open_flow(network)
+                self.lose_all_flows(network)
+                network.add_entry()
+                for number in network.agents:
+                    network.list_entries(number)
+                self.tell_rosters(network, listed, controls)
+                network.to_callers.clear()
+                network.send(1, support.WirePacket(FLOW, "data", 1))
+                network.advance(300)
+                sent = {packet.kind for packet in network.to_callers}
+                self.assertEqual(sent, kinds)
+
     def test_a_packet_waits_until_the_holder_announces_itself(self) -> None:
         network = start(entries=1)
         holder = open_flow(network)
@@ -200,6 +251,47 @@
         self.assertEqual(len(network.targets[holder].taken), 2)
         self.assertEqual(network.to_callers[-1].payload_bytes, 500)
 
+    def test_an_agent_without_a_target_holds_up_no_reset(self) -> None:
+        network = start()
+        open_flow(network)
+        network.advance(2000)
+        self.lose_all_flows(network)
+        core = network.agents[2]
+        for _ in range(2):
+            network.carry_out(
+                core.handle_probe(False, network.now), support.agent_address(2)
+            )
+        del network.agents[2]
+        network.advance(200)
+        network.send(1, support.WirePacket(FLOW, "data", 1, acknowledged=7))
+        network.advance(100)
+        self.assertEqual(network.to_callers[-1].kind, "reset")
+
+    def test_a_target_that_signs_off_holds_its_flows_for_a_while(
+        self,
+    ) -> None:
+        network = start()
+        holder = open_flow(network)
+        network.advance(2000)
+        core = network.agents[holder]
+        network.carry_out(
+            core.handle_target_end(f"i-{holder}", network.now),
+            support.agent_address(holder),
+        )
+        network.send(1, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
+    def test_a_target_that_starts_after_its_agent_is_used(self) -> None:
+        network = support.Network((support.SERVICE,), 1)
+        network.route(support.build_routing(1))
+        core = network.agents[0]
+        core.handle_probe(False, network.now)
+        core.handle_probe(False, network.now)
+        network.advance(100)
+        open_flow(network)
+        network.send(0, support.WirePacket(FLOW, "data", 1))
+        self.assertEqual(network.to_callers[-1].payload_bytes, 500)
+
     def test_flows_of_a_lost_agent_are_given_up(self) -> None:
         network = start()
         holder = open_flow(network)
@@ -272,6 +364,40 @@
         self.assertEqual(network.to_callers[-1].acknowledged, 7)
 
 
+class StartTest(unittest.TestCase):
+    """Guards against packets that an entry reads before it can use them."""
+
+    def may_read(self, network: support.Network) -> bool:
+        """Return whether the newest entry reads callers' packets."""
+        return network.entries[-1].may_read(network.now)
+
+    def test_packets_wait_for_the_agents_of_all_services(self) -> None:
+        network = start(("old", "new"), 1)
+        network.route(support.build_routing(2, "old"))
+        network.add_entry()
+        self.assertFalse(self.may_read(network))
+        network.list_entries(1)
+        self.assertFalse(self.may_read(network))
+        network.list_entries(0)
+        self.assertTrue(self.may_read(network))
+
+    def test_packets_do_not_wait_long_for_a_service(self) -> None:
+        network = start(entries=1)
+        network.route(support.build_routing(2, "missing"))
+        network.add_entry()
+        network.advance(400)
+        self.assertFalse(self.may_read(network))
+        network.advance(100)
+        self.assertTrue(self.may_read(network))
+
+    def test_packets_do_not_wait_long_for_a_routing(self) -> None:
+        network = support.Network((support.SERVICE,), 1)
+        network.advance(900)
+        self.assertFalse(self.may_read(network))
+        network.advance(100)
+        self.assertTrue(self.may_read(network))
+
+
 class OpeningTest(unittest.TestCase):
     """Guards against flows opened where they must not be."""
 
