Reset only flows that their caller has established at the target

Ruled out: the register and the lookups; the reset came from the agent, 1 ms after the packet.

Change: a flow counts as established when the target sends more than its acceptance, which it does only after the caller's answer to it. The end of a target resets established flows only; packets of others lead to a lookup.

Test: a flow opened at two targets, of which the caller took the first; the end of the second resets nothing (a reset before). test_the_end_of_a_target_resets now sends a request first, since its flow was not established.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -386,6 +386,7 @@
             self._recent.add(BROKEN_OFF_WEIGHT, self._now)
             self.flows.set_stage(held, flowtable.Stage.CLOSED)
             return
+        held.established = held.established or not packet.accepts
         if held.stage in (flowtable.Stage.TRIED, flowtable.Stage.OPENING):
             self._confirm(packet, held)
         if packet.payload_bytes and held.running_since is not None:
--- a/src/egretfork/passthrough/flowtable.py
+++ b/src/egretfork/passthrough/flowtable.py
@@ -27,6 +27,8 @@
 
     Attributes:
         entry: entry that delivered its newest packet.
+        established: the target has seen that the caller chose it. A caller
+            whose first packet was repeated may have chosen another.
         used_at: instant of its newest packet.
         running_since: instant from which a request waits for the first
             byte of its answer; none if there is no such request.
@@ -40,6 +42,7 @@
     used_at: datetime.timedelta
     running_since: datetime.timedelta | None = None
     acknowledged: int = 0
+    established: bool = False
     caller_finished: bool = False
     target_finished: bool = False
 
@@ -121,11 +124,13 @@
             self.running_count -= flow.running_since is not None
 
     def end_all(self) -> dict[packets.FlowKey, HeldFlow]:
-        """Note that the target has lost all flows; return those it held."""
+        """Note that the target has lost all flows.
+
+        Returns:
+            Those that callers had established.
+        """
         ended = {
-            key: flow
-            for key, flow in self._flows.items()
-            if flow.stage is not Stage.TRIED
+            key: flow for key, flow in self._flows.items() if flow.established
         }
         self._ended.update(dict.fromkeys(ended))
         while len(self._ended) > MAX_ENDED:
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -352,9 +352,53 @@
         network.route(support.build_routing(0, "other"))
         self.assertEqual(network.entries[0].version, 1)
 
+    def open_twice(self, network: support.Network) -> tuple[int, int]:
+        """Open a flow at two targets; the caller takes the first."""
+        first = open_flow(network)
+        core = network.entries[1]
+        second = (first + 1) % len(network.targets)
+        packet = support.encode(support.WirePacket(FLOW, "open"))
+        deliver = messages.Deliver(support.SERVICE, packet, True)
+        network.carry_out(
+            [actions.SendMessage(support.agent_address(second), deliver)],
+            support.entry_address(1),
+        )
+        self.assertEqual(len(network.list_holders(FLOW)), 2)
+        network.targets[second].held.clear()
+        self.assertIs(core, network.entries[1])
+        return first, second
+
+    def end_target(self, network: support.Network, number: int) -> None:
+        """Let another target start in the place of one."""
+        newer = support.build_report(1, identifier="i-new", born_ms=5000)
+        network.carry_out(
+            network.agents[number].handle_report(newer, network.now),
+            support.agent_address(number),
+        )
+
+    def test_the_end_of_a_target_that_the_caller_did_not_take(self) -> None:
+        network = start()
+        first, second = self.open_twice(network)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        network.to_callers.clear()
+        self.end_target(network, second)
+        self.assertEqual(network.to_callers, [])
+        data = support.encode(support.WirePacket(FLOW, "data", 100))
+        network.carry_out(
+            [
+                actions.SendMessage(
+                    support.agent_address(second),
+                    messages.Deliver(support.SERVICE, data),
+                )
+            ],
+            support.entry_address(1),
+        )
+        self.assertNotIn("reset", {p.kind for p in network.to_callers})
+
     def test_the_end_of_a_target_resets_its_flows(self) -> None:
         network = start()
         holder = open_flow(network)
+        network.send(0, support.WirePacket(FLOW, "data", 100))
         core = network.agents[holder]
         network.targets[holder].held.clear()
         newer = support.build_report(1, identifier="i-new", born_ms=5000)
