Look a flow up again when its hinted agent is lost

An entry reset a flow whose hint led to an agent that had been silent for 2 s, also if the first packet had only been offered there and the caller had taken another target.

Change: the hint is dropped and the flow looked up; lost agents are not asked, so that a flow that nobody holds is reset one round trip later. Lines on failed lookups give the number of listed agents that were never heard.

Tests: test_flows_of_a_lost_agent_are_given_up and the others pass unchanged.

--- a/src/egretfork/passthrough/agents.py
+++ b/src/egretfork/passthrough/agents.py
@@ -117,6 +117,11 @@
             return False
         return all(agents <= self._views.keys() for agents in self._rosters)
 
+    def count_missing(self) -> int:
+        """Return how many agents on control's lists were never heard."""
+        listed = frozenset[model.Endpoint]().union(*self._rosters)
+        return len(listed - self._views.keys())
+
     def list_services(self) -> frozenset[str]:
         """Return the services of all agents."""
         return frozenset(
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -183,17 +183,13 @@
             self._open(packet, route, hint)
         elif hint is None:
             self._search_for(packet, route)
-        elif self._agents.is_lost(hint.agent, self._now):
-            del self._hints[packet.flow]
-            reason = f"agent_silent agent={hint.agent}"
-            self._reset(packet.flow, packet.acknowledged, reason)
         else:
             self._forward(packet, hint)
 
     def _find_hint(self, flow: packets.FlowKey) -> Hint | None:
-        """Return the hint of a flow unless its agent is gone for good."""
+        """Return the hint of a flow unless its agent is lost."""
         hint = self._hints.get(flow)
-        if hint is not None and hint.agent not in self._agents:
+        if hint is not None and self._agents.is_lost(hint.agent, self._now):
             del self._hints[flow]
             return None
         return hint
@@ -437,8 +433,12 @@
     ) -> None:
         wanted.concluded = True
         all_known = self._agents.are_all_known(self._now)
-        detail = f"nowhere={nowhere} all_known={all_known}"
-        self._log("lookup_failed", flow, detail)
+        self._log(
+            "lookup_failed",
+            flow,
+            f"nowhere={nowhere} all_known={all_known}"
+            f" missing={self._agents.count_missing()}",
+        )
         self._count(reasons.Drop.NO_TARGETS)
         # An agent may still announce itself and take what waits.
         if nowhere and all_known and not self._widen(flow, wanted):
