--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -346,7 +346,7 @@
             self._conclude_lookup(flow, wanted, nowhere=not possible)
             return
         wanted.asked |= frozenset(possible)
-        seeker = seekers[wanted.attempts % len(seekers) - 1]
+        seeker = seekers[(wanted.attempts - 1) % len(seekers)]
         self._send_seek(seeker, flow, wanted, number, possible)
         detail = f"seeker={seeker} possible={len(possible)}"
         self._log("lookup_started", flow, detail)
