--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""An entry is restarted while a client uses a port again."""
+"""A node is restarted soon after an endpoint was added beside it."""
 
 import asyncio
-import collections.abc
 import pathlib
 import signal
 import sys
@@ -15,15 +14,25 @@
 import play  # noqa: E402
 import record  # noqa: E402
 
-FLOW_COUNT = 24
-PAUSE_S = 0.4
-# Ports rest for longer than `idleTimeoutMs` after their flows have closed.
-REST_S = 16.0
+CLIENT_COUNT = 12
+STOP_AFTER_S = 0.5
+RESTART_DELAY_S = 0.1
+PAUSE_S = 2.5
+REQUESTS_PER_FLOW = 4
+
+
+class CountingEndpoint(ends.Endpoint):
+    """Endpoint whose first heartbeat has the sequence 0."""
+
+    async def start(self, *, heartbeats: bool = True) -> None:
+        """Open the sockets and begin to send heartbeats."""
+        self.sequence = -1
+        await super().start(heartbeats=heartbeats)
 
 
 async def play_case(log: record.Record, trouble: bool) -> list[str]:
     """Play the case; return how the rule was broken."""
-    owner = deployment.Deployment(log, 2, ["blue"] * 4)
+    owner = deployment.Deployment(log, 1, ["blue", "blue"])
     try:
         return await _play(owner, log, trouble)
     finally:
@@ -34,105 +43,47 @@
     owner: deployment.Deployment, log: record.Record, trouble: bool
 ) -> list[str]:
     owner.start()
-    endpoints = [
-        ends.Endpoint(owner, agent.host, agent.service, f"i-{number}", slots=3)
-        for number, agent in enumerate(owner.agents)
-    ]
-    for endpoint in endpoints:
-        await endpoint.start()
+    node = owner.agents[0]
+    other = CountingEndpoint(owner, owner.agents[1].host, "blue", "i-other")
+    added = CountingEndpoint(owner, node.host, "blue", "i-added", slots=3)
+    await other.start()
     route = packets.Address(owner.service_host, 8443)
     await owner.put_configuration(
         ends.build_configuration(3, {route: "blue"}, ["blue"])
     )
-    await owner.wait_until_ready([entry.host for entry in owner.entries])
-    router = ends.Router(owner)
-    checks = asyncio.create_task(router.check_readiness())
-    client = ends.Client(owner, router, owner.client_hosts[0])
+    await owner.wait_until_ready([owner.entries[0].host])
+    client = ends.Client(owner, ends.Router(owner), owner.client_hosts[0])
     await client.start()
-
-    # The second entry is stopped and started in turn (roll_term); while it is
-    # away, all flows pass the first.
-    second = owner.entries[1]
-    if trouble:
-        await _restart(second, router, during=_use_short(client, route))
-    else:
-        await _use_short(client, route)
-    await asyncio.sleep(REST_S)
-    # The same ports again, for flows that stay open.
-    used = [
-        asyncio.create_task(_use_long(client, route, 20_000 + number))
-        for number in range(FLOW_COUNT)
-    ]
     await asyncio.sleep(3.0)
+    await added.start()
+    traffic = [
+        asyncio.create_task(_use_flow(client, route, 20_000 + number, number))
+        for number in range(CLIENT_COUNT)
+    ]
+    await asyncio.sleep(STOP_AFTER_S)
     if trouble:
-        await _restart(second, router, during=asyncio.sleep(3.0))
-    flows = await asyncio.gather(*used)
-    checks.cancel()
+        node.send_signal(signal.SIGTERM)
+        await node.wait_for_exit()
+        await asyncio.sleep(RESTART_DELAY_S)
+        node.start()
+    flows = await asyncio.gather(*traffic)
     return [
-        line
+        f"FLOW: flow {flow.name[0]}>{flow.name[1]} was reset by the system"
+        " while its endpoint lived"
         for flow in flows
-        if flow is not None
-        for line in _check_flow(flow, endpoints)
+        if flow is not None and flow.reset_by == "system"
     ]
 
 
-def _check_flow(
-    flow: ends.ClientFlow, endpoints: list[ends.Endpoint]
-) -> list[str]:
-    """Return a break if a flow was reset, but not by its endpoint."""
-    prefix = f"long-{flow.name[0].port}-"
-    own = [
-        endpoint
-        for endpoint in endpoints
-        if any(attempt.startswith(prefix) for _, attempt, _ in endpoint.run)
-    ]
-    senders = [
-        endpoint
-        for endpoint in endpoints
-        if any(name == flow.name for _, name in endpoint.resets_sent)
-    ]
-    if not flow.reset_by or len(own) != 1 or own[0] in senders:
-        return []
-    names = [endpoint.identifier for endpoint in senders] or ["the system"]
-    return [
-        f"FLOW: flow {flow.name[0]}>{flow.name[1]} of {own[0].identifier} got"
-        f" a reset of {names[0]}"
-    ]
-
-
-async def _restart(
-    entry: deployment.Machine,
-    router: ends.Router,
-    during: collections.abc.Awaitable[None],
-) -> None:
-    """Stop an entry, and start it again after some work."""
-    entry.send_signal(signal.SIGTERM)
-    await entry.wait_for_exit()
-    while entry.host in router.rotation:
-        await asyncio.sleep(0.05)
-    await during
-    entry.start()
-    while entry.host not in router.rotation:
-        await asyncio.sleep(0.05)
-
-
-async def _use_short(client: ends.Client, route: packets.Address) -> None:
-    for number in range(FLOW_COUNT):
-        flow = await client.open_flow(route, 20_000 + number)
-        if flow is not None:
-            await client.request(flow, f"short-{number}", close=True)
-            await client.finish(flow)
-
-
-async def _use_long(
-    client: ends.Client, route: packets.Address, port: int
+async def _use_flow(
+    client: ends.Client, route: packets.Address, port: int, number: int
 ) -> ends.ClientFlow | None:
-    await asyncio.sleep((port % 24) * 0.05)
+    await asyncio.sleep(number * 0.03)
     flow = await client.open_flow(route, port)
     if flow is None:
         return None
-    for number in range(30):
-        if await client.request(flow, f"long-{port}-{number}") is None:
+    for count in range(REQUESTS_PER_FLOW):
+        if await client.request(flow, f"a-{port}-{count}") is None:
             return flow
         await asyncio.sleep(PAUSE_S)
     await client.finish(flow)
