--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Heartbeats of another writer carry a number that no field can hold."""
+"""Heartbeats of another writer have a number of another type."""
 
 import asyncio
 import json
@@ -87,15 +87,15 @@
 async def _send_foreign_heartbeat(
     owner: deployment.Deployment, host: str, log: record.Record
 ) -> None:
-    """Send what another writer wrote, with a `concurrency` of 2 to the 64."""
+    """Send what another writer wrote: a float where milliseconds belong."""
     body = {
         "service": "blue",
         "address": f"{host}:{owner.ports.app}",
         "zone": "zone-a",
         "version": "v1",
-        "concurrency": 2**64,
+        "concurrency": 2,
         "state": "ready",
-        "warmupRemainingMs": 0,
+        "warmupRemainingMs": sys.float_info.max,
         "sequence": 1,
         "born": time.time_ns() // 1_000_000,
     }
