--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,9 @@
 START_AT_S = 2.7
 CUT_UNTIL_S = 2.9
 HEARTBEAT_ARRIVES_AT_S = 3.0
-REQUESTS_PER_S = 25
+REQUESTS_PER_S = 40
+# One endpoint of six is cut off, crashes and is replaced.
+SERVICES = ["first"] * 4 + ["second"] * 2
 
 
 class Link:
@@ -90,7 +92,7 @@
 
 async def play_case(log: record.Record, trouble: bool) -> list[str]:
     """Play the case; return how the rule was broken."""
-    owner = deployment.Deployment(log, 1, ["first", "first", "second"])
+    owner = deployment.Deployment(log, 1, SERVICES)
     try:
         return await _play(owner, log, trouble)
     finally:
@@ -107,12 +109,9 @@
     first.link = link
     first.heartbeat_address = await link.start()
     others = [
-        ends.Endpoint(
-            owner, owner.agents[1].host, "first", "i-other", slots=3
-        ),
-        ends.Endpoint(
-            owner, owner.agents[2].host, "second", "i-second", slots=3
-        ),
+        ends.Endpoint(owner, agent.host, agent.service, f"i-{number}", slots=3)
+        for number, agent in enumerate(owner.agents)
+        if agent.host != host
     ]
     for endpoint in (*others, first):
         await endpoint.start(heartbeats=endpoint is not first)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,8 @@
 import play  # noqa: E402
 import record  # noqa: E402
 
-CLIENT_COUNT = 12
+CLIENT_COUNT = 24
+NODE_FIRST_S = 0.8
 STOP_AFTER_S = 0.5
 RESTART_DELAY_S = 0.1
 PAUSE_S = 2.5
@@ -32,7 +33,7 @@
 
 async def play_case(log: record.Record, trouble: bool) -> list[str]:
     """Play the case; return how the rule was broken."""
-    owner = deployment.Deployment(log, 1, ["blue", "blue"])
+    owner = deployment.Deployment(log, 1, ["blue"] * 5)
     try:
         return await _play(owner, log, trouble)
     finally:
@@ -42,11 +43,13 @@
 async def _play(
     owner: deployment.Deployment, log: record.Record, trouble: bool
 ) -> list[str]:
-    owner.start()
-    node = owner.agents[0]
-    other = CountingEndpoint(owner, owner.agents[1].host, "blue", "i-other")
-    added = CountingEndpoint(owner, node.host, "blue", "i-added", slots=3)
-    await other.start()
+    node = owner.agents[-1]
+    owner.start(without=(node,))
+    for number, agent in enumerate(owner.agents[:-1]):
+        endpoint = CountingEndpoint(
+            owner, agent.host, "blue", f"i-{number}", slots=3
+        )
+        await endpoint.start()
     route = packets.Address(owner.service_host, 8443)
     await owner.put_configuration(
         ends.build_configuration(3, {route: "blue"}, ["blue"])
@@ -55,6 +58,10 @@
     client = ends.Client(owner, ends.Router(owner), owner.client_hosts[0])
     await client.start()
     await asyncio.sleep(3.0)
+    # An endpoint is added, and its machine with it.
+    node.start()
+    await asyncio.sleep(NODE_FIRST_S)
+    added = CountingEndpoint(owner, node.host, "blue", "i-added", slots=3)
     await added.start()
     traffic = [
         asyncio.create_task(_use_flow(client, route, 20_000 + number, number))
@@ -78,7 +85,7 @@
 async def _use_flow(
     client: ends.Client, route: packets.Address, port: int, number: int
 ) -> ends.ClientFlow | None:
-    await asyncio.sleep(number * 0.03)
+    await asyncio.sleep(number * 0.015)
     flow = await client.open_flow(route, port)
     if flow is None:
         return None
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -256,10 +256,11 @@
             for host, service in zip(side_hosts, services, strict=True)
         ]
 
-    def start(self) -> None:
-        """Start all processes for the first time."""
+    def start(self, *, without: tuple[Machine, ...] = ()) -> None:
+        """Start all processes but some for the first time."""
         for machine in (*self.controls, *self.entries, *self.agents):
-            machine.start(bootstrap=True)
+            if machine not in without:
+                machine.start(bootstrap=True)
 
     def close(self, *, keep: bool = False) -> None:
         """End all processes and remove their files."""
