--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,8 +15,9 @@
 import record  # noqa: E402
 
 CLIENT_COUNT = 24
-NODE_FIRST_S = 0.8
+NODE_FIRST_S = 1.5
 STOP_AFTER_S = 0.5
+OPEN_FLOWS = 4
 RESTART_DELAY_S = 0.1
 PAUSE_S = 2.5
 REQUESTS_PER_FLOW = 4
@@ -67,7 +68,10 @@
         asyncio.create_task(_use_flow(client, route, 20_000 + number, number))
         for number in range(CLIENT_COUNT)
     ]
-    await asyncio.sleep(STOP_AFTER_S)
+    # Until some flows are open at the new endpoint, 0.5 s at most.
+    stop_at = log.now() + STOP_AFTER_S
+    while len(added.run) < OPEN_FLOWS and log.now() < stop_at:
+        await asyncio.sleep(0.01)
     if trouble:
         node.send_signal(signal.SIGTERM)
         await node.wait_for_exit()
