--- a/review/common/ends.py
+++ b/review/common/ends.py
@@ -52,6 +52,7 @@
     """A flow at an endpoint."""
 
     isn: int
+    client_isn: int
     client_next: int
     sent_next: int
     acknowledged: int
@@ -231,10 +232,10 @@
 
     def _on_opening(self, name: FlowName, packet: packets.Packet) -> None:
         flow = self.flows.get(name)
-        if flow is None or flow.client_next != packet.seq + 1:
+        if flow is None or flow.client_isn != packet.seq:
             isn = random.randrange(1 << 32)
             after = (isn + 1) & packets.SEQUENCE_MASK
-            flow = ServedFlow(isn, packet.seq + 1, after, isn)
+            flow = ServedFlow(isn, packet.seq, packet.seq + 1, after, isn)
             self.flows[name] = flow
             self._ended.discard(name)
             self._record.write(
