Refuse numbers that no message can carry, and data nested too deeply

Cause: readers of data from outside checked types but no ranges. The agent kept the report, and its next announcement failed in the encoder of messages, in the task of its ticks, so the service and with it the process ended. Ruled out: the HTTP server, which survives errors of its handler. Deeply nested data made the same readers raise RecursionError, which none of them caught.

Change: module decoding has the ranges and the errors of decoders; heartbeats, weights of routes, flow keys, ports and all messages between nodes use them. An address of a heartbeat has to be host:port. A query that cannot be encoded no longer stays pending at control, which holds 1,024 of them.

--- a/src/egretfork/agent/probes.py
+++ b/src/egretfork/agent/probes.py
@@ -13,6 +13,7 @@
 from egretfork.agent import events
 from egretfork.agent import exchange
 from egretfork import coap
+from egretfork import decoding
 
 PROBE_INTERVAL = datetime.timedelta(seconds=1)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=900)
@@ -106,7 +107,7 @@
         return UNHEALTHY
     try:
         health = _DECODER.decode(response.payload)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.UNREADABLE:
         return UNHEALTHY
     return events.TargetReport(
         healthy=True,
--- a/src/egretfork/control/api.py
+++ b/src/egretfork/control/api.py
@@ -11,6 +11,7 @@
 
 from egretfork.control import commands
 from egretfork.control import entries
+from egretfork import decoding
 from egretfork import model
 from egretfork.passthrough import routing
 from egretfork import reasons
@@ -229,7 +230,7 @@
     """Decode a frame received by control."""
     try:
         return typing.cast(Incoming, _INCOMING.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return reasons.Failure(
             "decode frame", peer, reasons.Drop.MALFORMED, str(error)
         )
@@ -239,7 +240,7 @@
     """Decode a frame received by a client."""
     try:
         return typing.cast(Reply, _REPLY.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return reasons.Failure(
             "decode reply", peer, reasons.Drop.MALFORMED, str(error)
         )
--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -238,9 +238,10 @@
             self._redirect(event.client, query)
         else:
             token = self._next_token
+            consensus_event = _build_consensus_event(token, query)
             self._next_token += 1
             self._pending[token] = PendingQuery(event.client, query)
-            self._run_consensus(_build_consensus_event(token, query), now)
+            self._run_consensus(consensus_event, now)
 
     def _refuse_inactive(self, event: QueryReceived) -> None:
         reason = reasons.ControlRefusal.STORAGE_FAILED
--- a/src/egretfork/control/storage.py
+++ b/src/egretfork/control/storage.py
@@ -20,6 +20,7 @@
 from egretfork.control import files
 from egretfork.control import log
 from egretfork.control import records
+from egretfork import decoding
 
 IDENTITY_FILE = "identity"
 VOTE_FILE = "vote"
@@ -287,5 +288,5 @@
 def _decode(payload: bytes, kind: type[StoredType], name: str) -> StoredType:
     try:
         return msgspec.msgpack.decode(payload, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         raise records.CorruptionError(f"{name}: {error}") from error
--- a/src/egretfork/gossip/deltas.py
+++ b/src/egretfork/gossip/deltas.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from egretfork import decoding
 from egretfork.gossip import messages
 from egretfork import model
 from egretfork import reasons
@@ -174,12 +175,7 @@
     """Decompress and decode a delta."""
     try:
         return _DECODER.decode(messages.decompress(data))
-    except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
-        zlib.error,
-        ValueError,
-    ) as error:
+    except (*decoding.UNREADABLE, zlib.error, ValueError) as error:
         return _make_failure("malformed", str(error))
 
 
--- a/src/egretfork/gossip/messages.py
+++ b/src/egretfork/gossip/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from egretfork import decoding
 from egretfork import model
 from egretfork import reasons
 from egretfork import wire
@@ -290,7 +291,7 @@
     """Decode a datagram received from ``peer``."""
     try:
         return typing.cast(AnyMessage, _DECODER.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return _make_failure("decode gossip message", peer, str(error))
 
 
@@ -303,12 +304,7 @@
     """Decompress and decode a batch of records."""
     try:
         return _BATCH_DECODER.decode(decompress(data))
-    except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
-        zlib.error,
-        ValueError,
-    ) as error:
+    except (*decoding.UNREADABLE, zlib.error, ValueError) as error:
         return _make_failure("unpack records", "", str(error))
 
 
--- a/src/egretfork/model.py
+++ b/src/egretfork/model.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from egretfork import decoding
+
 
 class Endpoint(msgspec.Struct, frozen=True, order=True, array_like=True):
     """UDP or TCP endpoint: IPv4 address and port."""
 
     host: str
-    port: int
+    port: decoding.Port
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/src/egretfork/passthrough/directory.py
+++ b/src/egretfork/passthrough/directory.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from egretfork import decoding
 from egretfork import model
 from egretfork.passthrough import actions
 from egretfork.passthrough import messages
@@ -154,5 +155,5 @@
         return msgspec.msgpack.decode(
             zlib.decompress(data), type=routing.Routing
         )
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (*decoding.UNREADABLE, zlib.error) as error:
         raise ValueError(f"routing cannot be read: {error}") from error
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from egretfork import decoding
 from egretfork import model
 from egretfork.passthrough import packets
 from egretfork import reasons
@@ -41,7 +42,7 @@
     data: bytes
     accept_when_busy: bool = False
     trial: bool = False
-    max_wait_ms: int = 0
+    max_wait_ms: decoding.Milliseconds = 0
 
 
 class FlowOpened(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -70,7 +71,7 @@
     flow: packets.FlowKey
     reason: DeclineReason
     data: bytes
-    wait_ms: int = 0
+    wait_ms: decoding.Milliseconds = 0
 
 
 class FlowNotHeld(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -149,19 +150,19 @@
 
     agent: str
     availability_zone: str
-    incarnation: int
-    sequence: int
+    incarnation: decoding.Timestamp
+    sequence: decoding.Number
     service: str
     state: TargetState
-    slots: int = 1
-    flows: int = 0
-    running: int = 0
-    warmup_ms: int = 0
+    slots: decoding.Count = 1
+    flows: decoding.Count = 0
+    running: decoding.Count = 0
+    warmup_ms: decoding.Milliseconds = 0
     stopping: bool = False
-    period_ms: int = 200
-    recent_load: float = 0.0
+    period_ms: decoding.Milliseconds = 200
+    recent_load: decoding.Load = 0.0
     target_exited: bool = False
-    workload: float | None = None
+    workload: decoding.Load | None = None
 
 
 class NodeHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -176,7 +177,7 @@
 
     role: Role
     name: str
-    directory_checksum: int
+    directory_checksum: decoding.Number
     wants_roster: bool = False
     deregister: bool = False
 
@@ -191,8 +192,8 @@
         entries: live entries; empty if the node has the addresses.
     """
 
-    version: int
-    checksum: int
+    version: decoding.Number
+    checksum: decoding.Number
     controls: tuple[model.Endpoint, ...] = ()
     entries: tuple[model.Endpoint, ...] = ()
 
@@ -202,8 +203,8 @@
 ):
     """Entry to control: requests a chunk of the newest routing."""
 
-    version: int
-    offset: int
+    version: decoding.Number
+    offset: decoding.Count
 
 
 class RoutingChunk(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -213,9 +214,9 @@
         size: size of the whole compressed routing in bytes.
     """
 
-    version: int
-    size: int
-    offset: int
+    version: decoding.Number
+    size: decoding.Count
+    offset: decoding.Count
     data: bytes
 
 
@@ -251,7 +252,7 @@
     """
 
     flow: packets.FlowKey
-    number: int
+    number: decoding.Count
     services: tuple[str, ...]
     agents: bytes
     data: bytes
@@ -269,7 +270,7 @@
     """
 
     flow: packets.FlowKey
-    number: int
+    number: decoding.Count
     holder: model.Endpoint | None = None
     held_nowhere: bool = False
     unresolved: bytes = b""
@@ -348,7 +349,7 @@
     """Decode one datagram."""
     try:
         return typing.cast(Message, _DECODER.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return reasons.Failure(
             "decode message", peer, reasons.Drop.MALFORMED, str(error)
         )
--- a/src/egretfork/passthrough/packets.py
+++ b/src/egretfork/passthrough/packets.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from egretfork import decoding
 from egretfork import reasons
 
 
@@ -22,10 +23,10 @@
         service_port: port of the service address.
     """
 
-    caller_host: int
-    caller_port: int
-    service_host: int
-    service_port: int
+    caller_host: decoding.HostNumber
+    caller_port: decoding.Port
+    service_host: decoding.HostNumber
+    service_port: decoding.Port
 
     def __str__(self) -> str:
         caller = ipaddress.IPv4Address(self.caller_host)
@@ -41,8 +42,8 @@
 class ServiceAddress(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Address at which callers reach a service."""
 
-    host: int
-    port: int
+    host: decoding.HostNumber
+    port: decoding.Port
 
 
 class Packet(msgspec.Struct, frozen=True):
--- a/src/egretfork/wire.py
+++ b/src/egretfork/wire.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from egretfork import decoding
 from egretfork import model
 from egretfork import reasons
 
@@ -396,7 +397,7 @@
     """Decode a datagram received from ``peer``."""
     try:
         return typing.cast(AnyMessage, _DECODER.decode(data))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return reasons.Failure(
             step="decode wire message",
             peer=peer,
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -88,6 +88,19 @@
         self.assertEqual(route.list_services(), {"mail", "feed"})
 
 
+class PendingTest(unittest.TestCase):
+    def test_a_command_that_cannot_be_encoded(self) -> None:
+        # Guards against queries that stay pending and use up their limit.
+        group = cluster.Cluster(0)
+        leader = group.add_member(first=True)
+        group.run_until(lambda: leader.is_leader)
+        assert leader.control_core is not None
+        command = commands.Declare(build(2**64))
+        with self.assertRaises(OverflowError):
+            group.ask(leader, api.Submit(1, command))
+        self.assertFalse(leader.control_core.has_pending)
+
+
 class LossTest(unittest.TestCase):
     """Guards against the loss of an acknowledged declaration."""
 
--- a/tests/platform/test_declarations.py
+++ b/tests/platform/test_declarations.py
@@ -110,6 +110,19 @@
                 result = parse_routes(build_route(), version=version)
                 self.assertIsInstance(result, reasons.Failure)
 
+    def test_numbers_that_the_log_cannot_hold(self) -> None:
+        # Guards against an error that is not the operator's (500).
+        for weight in (2**63, 2**64, 10**30):
+            split = [{"service": "mail", "weight": weight}]
+            route = build_route(service=None, trafficSplit=split)
+            self.assertIsInstance(parse_routes(route), reasons.Failure)
+
+    def test_nested_too_deeply(self) -> None:
+        # Guards against an error that is not the operator's (500).
+        body = b'{"version": 7, "limits": ' + b"[" * 100_000
+        result = declarations.parse_configuration(body)
+        self.assertIsInstance(result, reasons.Failure)
+
     def test_truncated_body(self) -> None:
         body = json.dumps(
             {"version": 7, "routes": [build_route()], "services": []}
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -1,6 +1,7 @@
 """Tests the validation and conversion of endpoints' heartbeats."""
 
 import json
+import sys
 import typing
 import unittest
 
@@ -13,6 +14,7 @@
 
 from egretfork.passthrough import target
 from egretfork import reasons
+from tests.passthrough import support
 
 WALL_CLOCK_MS = 1787509026000
 
@@ -66,12 +68,53 @@
             {"sequence": -1},
             {"born": "yesterday"},
             {"born": 1.5},
+            {"address": "10.128.0.9:70000"},
+            {"address": "10.128.0.9"},
+            {"address": ""},
         ):
             with self.subTest(changes):
                 self.assertIsInstance(
                     parse_changed(**changes), reasons.Failure
                 )
 
+    def test_numbers_that_messages_cannot_carry(self) -> None:
+        # Guards against an agent that ends when it announces such a number.
+        for field in ("concurrency", "sequence", "warmupRemainingMs", "born"):
+            for number in (2**63, 2**64, 10**30, sys.float_info.max):
+                with self.subTest(field, number=number):
+                    result = parse_changed(**{field: number})
+                    self.assertIsInstance(result, reasons.Failure)
+
+    @hypothesis.given(
+        *[strategies.integers(0, 2**66)] * 3,
+        strategies.floats(0, allow_nan=False, allow_infinity=False),
+    )
+    def test_accepted_reports_are_announced(
+        self, concurrency: int, sequence: int, born: int, warmup_ms: float
+    ) -> None:
+        # Guards against an accepted report that a later announcement or tick
+        # fails on.
+        report = parse_changed(
+            concurrency=concurrency,
+            sequence=sequence,
+            born=born,
+            warmupRemainingMs=warmup_ms,
+        )
+        if isinstance(report, reasons.Failure):
+            return
+        network = support.Network(("mail",), 1)
+        core = network.agents[0]
+        requested_actions = core.handle_report(report, network.now)
+        network.execute(requested_actions, support.agent_address(0))
+        network.advance(300, reports=False)
+
+    def test_nested_too_deeply(self) -> None:
+        # Guards against an error that is not the sender's (500).
+        result = registrations.parse_heartbeat(
+            "i-1", b'{"service": ' + b"[" * 100_000, WALL_CLOCK_MS
+        )
+        self.assertIsInstance(result, reasons.Failure)
+
     @hypothesis.given(strategies.binary(max_size=200))
     def test_arbitrary_bytes(self, body: bytes) -> None:
         result = registrations.parse_heartbeat("i-1", body, WALL_CLOCK_MS)
