Keep a first declaration whose version is 0

Cause: 0 stood for "nothing is declared" in Routing, in the directory of control, in the contact of nodes and in the entry. A declaration of version 0 was not higher than that, so the operator API answered that it is known, and the state machine, the directory and the entry would each have dropped it. Ruled out: the validation, which accepts 0.

Change: NO_VERSION (-1) stands for nothing, below the versions that are accepted (0 to 2^63-1). A stored state of an earlier release without a document is read as nothing declared. The size 0 of a chunk, which a pull took for "no chunk yet" and would have requested without end, ends the pull.

--- a/src/egretfork/control/state.py
+++ b/src/egretfork/control/state.py
@@ -60,6 +60,9 @@
         self.state = (
             msgspec.msgpack.decode(encoded, type=State) if encoded else State()
         )
+        if not self.state.declaration.document:
+            # Earlier releases stored version 0 while nothing was declared.
+            self.state.declaration = routing.Declaration()
         self.configuration = self._build_configuration()
 
     def encode(self) -> bytes:
--- a/src/egretfork/passthrough/contact.py
+++ b/src/egretfork/passthrough/contact.py
@@ -161,7 +161,7 @@
         """Return whether the node could work without control."""
         match self._role:
             case messages.Role.ENTRY:
-                return self.newest_routing.version > 0
+                return self.newest_routing.version != routing.NO_VERSION
             case messages.Role.AGENT:
                 return bool(self._entries)
         return True
@@ -236,12 +236,15 @@
     def _repeat_pull(self, pull: RoutingPull) -> None:
         pull.attempts += 1
         if pull.attempts >= MAX_PULL_ATTEMPTS:
-            # The next heartbeats find a process that still has the version.
-            self._pull = None
-            self._log_pull("pull_abandoned", pull)
+            self._abandon_pull(pull)
             return
         self._request_chunks(pull)
 
+    def _abandon_pull(self, pull: RoutingPull) -> None:
+        """End a pull; the next heartbeats find a process with the version."""
+        self._pull = None
+        self._log_pull("pull_abandoned", pull)
+
     def _handle_chunk(
         self, message: messages.RoutingChunk, peer: model.Endpoint
     ) -> None:
@@ -251,6 +254,9 @@
             pull.version,
         ):
             return
+        if not message.size:
+            self._abandon_pull(pull)
+            return
         pull.attempts = 0
         is_first_chunk = not pull.size
         pull.size = message.size
--- a/src/egretfork/passthrough/directory.py
+++ b/src/egretfork/passthrough/directory.py
@@ -31,7 +31,7 @@
         self._entries: dict[model.Endpoint, datetime.timedelta] = {}
         self._agents: dict[model.Endpoint, datetime.timedelta] = {}
         self._listed_entries: tuple[model.Endpoint, ...] = ()
-        self._version = 0
+        self._version = routing.NO_VERSION
         self._packed_routing = b""
         self._checksum = 0
 
--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -55,8 +55,8 @@
 
     @property
     def version(self) -> int:
-        """Return the version of the current routing, 0 if there is none."""
-        return self._routes.version if self._routes else 0
+        """Return the version of the current routing or ``NO_VERSION``."""
+        return self._routes.version if self._routes else routing.NO_VERSION
 
     def _begin(self, now: datetime.timedelta) -> None:
         super()._begin(now)
--- a/src/egretfork/passthrough/messages.py
+++ b/src/egretfork/passthrough/messages.py
@@ -15,8 +15,13 @@
 from egretfork import decoding
 from egretfork import model
 from egretfork.passthrough import packets
+from egretfork.passthrough import routing
 from egretfork import reasons
 
+Version = typing.Annotated[
+    int, msgspec.Meta(ge=routing.NO_VERSION, le=decoding.MAX_NUMBER)
+]
+
 
 class Role(enum.StrEnum):
     """Role of a process."""
@@ -192,7 +197,7 @@
         entries: live entries; empty if the node has the addresses.
     """
 
-    version: decoding.Number
+    version: Version
     checksum: decoding.Number
     controls: tuple[model.Endpoint, ...] = ()
     entries: tuple[model.Endpoint, ...] = ()
@@ -203,7 +208,7 @@
 ):
     """Entry to control: requests a chunk of the newest routing."""
 
-    version: decoding.Number
+    version: Version
     offset: decoding.Count
 
 
@@ -214,7 +219,7 @@
         size: size of the whole compressed routing in bytes.
     """
 
-    version: decoding.Number
+    version: Version
     size: decoding.Count
     offset: decoding.Count
     data: bytes
--- a/src/egretfork/passthrough/routing.py
+++ b/src/egretfork/passthrough/routing.py
@@ -9,6 +9,8 @@
 from egretfork.passthrough import packets
 
 MAX_PREVIOUS_SERVICES = 8
+# Version while nothing is declared, lower than that of any declaration.
+NO_VERSION = -1
 
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
@@ -39,7 +41,7 @@
 class Routing(msgspec.Struct, frozen=True, array_like=True):
     """All routes of one declaration version."""
 
-    version: int = 0
+    version: int = NO_VERSION
     routes: tuple[Route, ...] = ()
 
 
@@ -56,7 +58,7 @@
 
     @property
     def version(self) -> int:
-        """Return the operators' version number, 0 if nothing is declared."""
+        """Return the operators' version number or ``NO_VERSION``."""
         return self.routing.version
 
 
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -3,6 +3,8 @@
 import datetime
 import unittest
 
+import msgspec
+
 from egretfork.control import api
 from egretfork.control import commands
 from egretfork.control import entries
@@ -73,6 +75,24 @@
             self.assertIs(outcome.kind, commands.OutcomeKind.ACCEPTED)
             self.assertEqual(self.machine.state.declaration, build(7))
 
+    def test_a_first_version_of_zero(self) -> None:
+        # Guards against version 0 being acknowledged but not kept.
+        machine = state.StateMachine()
+        machine.apply(commands.Declare(build(0)))
+        self.assertEqual(machine.state.declaration, build(0))
+        machine.apply(commands.Declare(build(0, "other")))
+        restored = state.StateMachine(machine.encode())
+        self.assertEqual(restored.state.declaration, build(0))
+
+    def test_a_state_of_an_earlier_release_without_declaration(self) -> None:
+        earlier = state.State(
+            declaration=routing.Declaration(routing.Routing(0))
+        )
+        machine = state.StateMachine(msgspec.msgpack.encode(earlier))
+        self.assertEqual(machine.state.declaration, routing.Declaration())
+        machine.apply(commands.Declare(build(0)))
+        self.assertEqual(machine.state.declaration, build(0))
+
     def test_a_snapshot_keeps_the_declaration(self) -> None:
         restored = state.StateMachine(self.machine.encode())
         self.assertEqual(restored.state.declaration, build(7))
--- a/tests/passthrough/test_contact.py
+++ b/tests/passthrough/test_contact.py
@@ -118,6 +118,33 @@
         self.assertEqual(network.nodes[ENTRY].newest_routing.version, 3)
         self.assertEqual(network.nodes[AGENT].entries, (ENTRY,))
 
+    def test_a_first_version_of_zero(self) -> None:
+        # Guards against version 0 being taken for the lack of a version.
+        network = LossyNetwork(CONTROLS, 0)
+        network.run(600)
+        network.publish(build_routing(0))
+        network.run(600)
+        newest = network.nodes[ENTRY].newest_routing
+        self.assertEqual(newest, build_routing(0))
+        network.publish(build_routing(1))
+        network.run(600)
+        self.assertEqual(network.nodes[ENTRY].newest_routing.version, 1)
+
+    def test_a_version_without_content(self) -> None:
+        # Control of an earlier release sends version 0 while it has none.
+        node = LossyNetwork(CONTROLS, 0).nodes[ENTRY]
+        now = support.at(0)
+        requested = node.handle_message(
+            messages.Directory(0, 0), CONTROLS[0], now
+        )
+        self.assertEqual(len(requested), 1)
+        requested = node.handle_message(
+            messages.RoutingChunk(0, 0, 0, b""), CONTROLS[0], now
+        )
+        self.assertFalse(
+            [a for a in requested if isinstance(a, actions.SendMessage)]
+        )
+
     def test_seeds_are_replaced(self) -> None:
         network = LossyNetwork(CONTROLS[:1], 0)
         network.down.add(CONTROLS[0])
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -383,6 +383,16 @@
         network.send(0, support.WirePacket(FLOW, "data", 1))
         self.assertEqual(network.to_callers[-1].kind, "reset")
 
+    def test_a_first_version_of_zero(self) -> None:
+        # Guards against version 0 being taken for the lack of a version.
+        network = support.Network((support.SERVICE,), 1)
+        network.route(support.build_routing(0))
+        network.advance(300)
+        self.assertTrue(network.entries[0].is_ready(network.now))
+        flow = support.build_flow(0)
+        network.send(0, support.WirePacket(flow, "open"))
+        self.assertEqual(network.list_holders(flow), [0])
+
     def test_an_older_routing_changes_nothing(self) -> None:
         network = start()
         network.route(support.build_routing(0, "other"))
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -246,14 +246,14 @@
             for host in CONTROLS[:3]
         )
 
-    def read_version(self) -> int:
-        """Return the version that a majority confirms, or 0 without one."""
+    def read_version(self) -> int | None:
+        """Return the version that a majority confirms, if there is one."""
         for host in CONTROLS[:3]:
             port = self.ports.control
             status, body = send_request(host, port, "GET", "/configuration")
             if status == 200:
                 return int(json.loads(body)["version"])
-        return 0
+        return None
 
     def is_ready(self) -> bool:
         """Send a heartbeat; return whether agent and entry accept work."""
@@ -307,7 +307,7 @@
         self.controls[0].wipe()
         for machine in self.controls:
             machine.start()
-        processes.poll(lambda: self.read_version() > 0)
+        processes.poll(lambda: self.read_version() is not None)
         self.assertEqual(self.read_version(), 7)
         port = self.ports.control
         bad = build_configuration(9) | {"services": []}
@@ -317,6 +317,13 @@
         self.assertTrue(self.put_configuration(6))
         self.assertEqual(self.read_version(), 7)
 
+    def test_first_declaration_with_version_zero(self) -> None:
+        # Guards against a declaration that is acknowledged but not kept.
+        processes.poll(lambda: self.put_configuration(0))
+        self.assertEqual(self.read_version(), 0)
+        processes.poll(self.is_ready)
+        self.open_flow()
+
     def test_processes_exit_with_zero_on_sigterm(self) -> None:
         processes.poll(lambda: self.put_configuration(3))
         processes.poll(self.is_ready)
