Begin the lease of a target when its report can have been sent

Cause: a report renewed the lease from its arrival, whatever its age, and took back the mark that nothing listens at the address. Ruled out: the order of reports, which was right (the late one had the highest sequence number).

Change: the lease begins at the earliest time at which the report can have been sent: one interval after the report before it, later by the calls whose numbers are missing, since the sender waits for an acknowledgement. Reports that arrive together do not count as acknowledged. Related paths: a late report does not revive a dead target; a target with an earlier start replaces the known one only with a second report; a deregistration that an earlier process with the same identifier had sent no longer ends the new one for good.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -66,18 +66,17 @@
         self,
         identity: AgentIdentity,
         codec: packets.Codec,
-        lease: datetime.timedelta,
+        timing: target.ReportTiming,
         now: datetime.timedelta,
     ) -> None:
         """Create the core.
 
         Args:
-            lease: how long a report of the target is valid.
             now: start of the process; all packets since then are processed.
         """
         super().__init__(codec, now)
         self._identity = identity
-        self._target = target.TargetLease(lease)
+        self._target = target.TargetLease(timing)
         self._schedule = slots.SlotSchedule()
         self._waitlist = waitlist.Waitlist()
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT, self._schedule)
@@ -153,7 +152,7 @@
             )
         if change is not target.ReportChange.NONE:
             self._log_report(report, change)
-        if change is not target.ReportChange.OUTDATED:
+        if change not in target.IGNORED:
             self._schedule.slots = report.slots
         self._announce_change()
         return self._actions
@@ -214,7 +213,7 @@
             return self._actions
         detail = f"nothing listens, report={self._describe_report()}"
         self._log_event("target_dead", "follow target", "", detail)
-        self._target.mark_dead()
+        self._target.mark_dead(self._now)
         self._knows_all_flows = True
         self._drop_flows("target dead", "")
         self._announce_change()
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -3,6 +3,11 @@
 Each report renews a lease. A target whose lease has expired may have been
 replaced by a target of another service at the same address, so no flow is
 opened there until it reports again.
+
+A report may arrive long after it was sent, and its sender may have ended
+meanwhile. The lease therefore begins at the earliest time at which the report
+can have been sent, which follows from the report before it. A report that
+contradicts what is known takes effect only if a second one confirms it.
 """
 
 import datetime
@@ -16,6 +21,21 @@
 MAX_EXIT_TIME = datetime.timedelta(seconds=1)
 
 
+class ReportTiming(msgspec.Struct, frozen=True):
+    """Times of the reports of a target.
+
+    Attributes:
+        lease: how long a report is valid after it was sent.
+        interval: time between an acknowledged report and the next one.
+        retry_interval: shortest time between a report that was not
+            acknowledged and the next one.
+    """
+
+    lease: datetime.timedelta
+    interval: datetime.timedelta
+    retry_interval: datetime.timedelta
+
+
 class TargetReport(msgspec.Struct, frozen=True):
     """Report of a target about itself.
 
@@ -44,24 +64,38 @@
 
 
 class ReportChange(enum.StrEnum):
-    """Effect of a report."""
+    """Effect of a report.
+
+    ``OUTDATED`` and ``UNCONFIRMED`` reports have no effect yet. The lease of
+    a ``DELAYED`` one has already ended.
+    """
 
     NONE = "none"
     OUTDATED = "outdated"
+    UNCONFIRMED = "unconfirmed"
+    DELAYED = "delayed"
     FIRST = "first"
     REPLACED = "replaced"
     STATE = "state"
 
 
+# Effects of reports that are not recorded.
+IGNORED = (ReportChange.OUTDATED, ReportChange.UNCONFIRMED)
+
+
 class TargetLease:
     """Newest report of the agent's target and its lease."""
 
-    def __init__(self, lease: datetime.timedelta) -> None:
-        self._lease = lease
+    def __init__(self, timing: ReportTiming) -> None:
+        self._timing = timing
         self._report: TargetReport | None = None
-        self._reported_at = datetime.timedelta()
+        self._arrived_at = datetime.timedelta()
+        self._sent_at = datetime.timedelta()
+        self._lease_end = datetime.timedelta()
+        self._unconfirmed: TargetReport | None = None
+        self._unconfirmed_at = datetime.timedelta()
         self._deregistered_at: datetime.timedelta | None = None
-        self._dead = False
+        self._dead_since: datetime.timedelta | None = None
 
     @property
     def report(self) -> TargetReport | None:
@@ -79,21 +113,98 @@
         known = self._report
         if known is not None and self._is_outdated(known, report, now):
             return ReportChange.OUTDATED
-        self._report = report
-        self._reported_at = now
-        self._deregistered_at = None
-        self._dead = False
+        if self._needs_confirmation(report) and not self._confirm(report, now):
+            return ReportChange.UNCONFIRMED
         if known is None:
+            self._accept(report, now, now)
             return ReportChange.FIRST
-        if not _is_same_instance(known, report) or (
-            report.sequence < known.sequence
-        ):
+        if _is_same_instance(known, report):
+            return self._renew(known, report, now)
+        self._accept(report, now, now)
+        return ReportChange.REPLACED
+
+    def _renew(
+        self,
+        known: TargetReport,
+        report: TargetReport,
+        now: datetime.timedelta,
+    ) -> ReportChange:
+        """Record a later report of the same target process."""
+        if report.sequence < known.sequence:
+            self._accept(report, now, now)
             return ReportChange.REPLACED
+        ended = self.get_state(now) is messages.TargetState.ENDED
+        sent_at = self._estimate_sent(known, report, now)
+        self._accept(report, now, sent_at)
+        if self._is_silent(now):
+            return ReportChange.DELAYED
         changed = (known.leaving, known.slots) != (
             report.leaving,
             report.slots,
         )
-        return ReportChange.STATE if changed else ReportChange.NONE
+        return ReportChange.STATE if changed or ended else ReportChange.NONE
+
+    def _accept(
+        self,
+        report: TargetReport,
+        now: datetime.timedelta,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        same = self._report is not None and _is_same_instance(
+            self._report, report
+        )
+        self._report = report
+        self._arrived_at = now
+        self._sent_at = sent_at
+        self._lease_end = sent_at + self._timing.lease
+        self._unconfirmed = None
+        if not same or self._was_sent_after_death(sent_at):
+            self._dead_since = None
+        if not same or self._has_survived_deregistration(sent_at):
+            self._deregistered_at = None
+
+    def _estimate_sent(
+        self,
+        known: TargetReport,
+        report: TargetReport,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Return the earliest time at which a report can have been sent.
+
+        A target sends a report one interval after the acknowledgement of the
+        one before it, or sooner if that one was not acknowledged. A report
+        that follows very soon was sent without waiting for one.
+        """
+        retries = report.sequence - known.sequence - 1
+        retry_time = retries * self._timing.retry_interval
+        if now - self._arrived_at < self._timing.interval / 2:
+            earliest = self._sent_at + self._timing.retry_interval
+        else:
+            earliest = self._arrived_at + self._timing.interval
+        return min(now, earliest + retry_time)
+
+    def _needs_confirmation(self, report: TargetReport) -> bool:
+        """Return whether a report contradicts an earlier one."""
+        known = self._report
+        return known is not None and report.born_ms < known.born_ms
+
+    def _confirm(self, report: TargetReport, now: datetime.timedelta) -> bool:
+        """Return whether an earlier report confirms this one.
+
+        Reports that were delayed together arrive at once, so they do not
+        confirm each other.
+        """
+        earlier = self._unconfirmed
+        if (
+            earlier is None
+            or not _is_same_instance(earlier, report)
+            or report.sequence < earlier.sequence
+        ):
+            self._unconfirmed = report
+            self._unconfirmed_at = now
+            return False
+        waited = now - self._unconfirmed_at >= self._timing.interval / 2
+        return waited and report.sequence > earlier.sequence
 
     def record_deregistration(
         self, identifier: str, now: datetime.timedelta
@@ -104,25 +215,29 @@
         self._deregistered_at = self._deregistered_at or now
         return True
 
-    def mark_dead(self) -> None:
+    def mark_dead(self, now: datetime.timedelta) -> None:
         """Record that nothing listens at the target's address."""
-        self._dead = True
+        self._dead_since = now
 
     def has_exited(self, now: datetime.timedelta) -> bool:
         """Return whether the target process has certainly exited."""
-        if self._deregistered_at is None:
-            return self._dead
-        return self._dead or now - self._deregistered_at >= MAX_EXIT_TIME
+        if self._dead_since is not None:
+            return True
+        deregistered_at = self._deregistered_at
+        return (
+            deregistered_at is not None
+            and now - deregistered_at >= MAX_EXIT_TIME
+        )
 
     def get_state(self, now: datetime.timedelta) -> messages.TargetState:
         """Return the state of the target."""
-        if self._dead or self._deregistered_at is not None:
+        if self._dead_since is not None or self._deregistered_at is not None:
             return messages.TargetState.ENDED
         if self._report is None:
             return messages.TargetState.UNKNOWN
         if self._report.leaving:
             return messages.TargetState.LEAVING
-        if now - self._reported_at > self._lease:
+        if self._is_silent(now):
             return messages.TargetState.UNKNOWN
         return messages.TargetState.READY
 
@@ -139,22 +254,46 @@
             return messages.DeclineReason.WRONG_SERVICE
         return None
 
+    def _is_silent(self, now: datetime.timedelta) -> bool:
+        return now > self._lease_end
+
     def _is_outdated(
         self,
         known: TargetReport,
         report: TargetReport,
         now: datetime.timedelta,
     ) -> bool:
-        silent = now - self._reported_at > self._lease
-        if _is_same_instance(known, report):
-            if silent and not report.born_ms:
-                return False
-            deregistered = self._deregistered_at is not None
-            return deregistered or report.sequence <= known.sequence
-        # A new target may report an earlier start time if the wall clock was
-        # set back. It is accepted once the lease of the earlier target has
-        # expired.
-        return report.born_ms < known.born_ms and not silent
+        """Return whether a report is older than what is known."""
+        silent = self._is_silent(now)
+        if not _is_same_instance(known, report):
+            # A new target may report an earlier start time if the wall clock
+            # was set back. It is accepted once the lease of the earlier
+            # target has expired.
+            return not silent and report.born_ms < known.born_ms
+        if silent and not report.born_ms:
+            # A lower number is that of a new process with this identifier.
+            return report.sequence == known.sequence
+        if report.sequence <= known.sequence:
+            return True
+        sent_at = self._estimate_sent(known, report, now)
+        return not self._has_survived_deregistration(sent_at)
+
+    def _was_sent_after_death(self, sent_at: datetime.timedelta) -> bool:
+        return self._dead_since is None or sent_at > self._dead_since
+
+    def _has_survived_deregistration(
+        self, sent_at: datetime.timedelta
+    ) -> bool:
+        """Return whether a report shows that the target still runs.
+
+        A deregistration may have been sent by an earlier process with the
+        same identifier.
+        """
+        deregistered_at = self._deregistered_at
+        return (
+            deregistered_at is None
+            or sent_at - deregistered_at >= MAX_EXIT_TIME
+        )
 
 
 def _is_same_instance(known: TargetReport, report: TargetReport) -> bool:
