Confirm a report of a service that the VM does not run

After a restart of its process, an agent also took the late heartbeat of an earlier target for the first one of its own, as it remembers no reports.

Cause: any report with a later start replaced the target, though the settings name the service of the VM's target.

Change: the agent takes the service from the settings, also when they change. A report of another service is ignored while the target reports, and otherwise takes effect with a second report, half an interval or more later. Settings that lag behind a new target delay it by one heartbeat.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -68,15 +68,17 @@
         codec: packets.Codec,
         timing: target.ReportTiming,
         now: datetime.timedelta,
+        service: str = "",
     ) -> None:
         """Create the core.
 
         Args:
+            service: service of the VM's target, empty if it is not known.
             now: start of the process; all packets since then are processed.
         """
         super().__init__(codec, now)
         self._identity = identity
-        self._target = target.TargetLease(timing)
+        self._target = target.TargetLease(timing, service)
         self._schedule = slots.SlotSchedule()
         self._waitlist = waitlist.Waitlist()
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT, self._schedule)
@@ -170,6 +172,15 @@
         earlier_end = self._started_at - placement.MIN_RESTART_TIME
         return self._now - report.age_ms * MILLISECOND >= earlier_end
 
+    def handle_service(
+        self, service: str, now: datetime.timedelta
+    ) -> list[actions.Action]:
+        """Set the service of the VM's target."""
+        self._begin(now)
+        self._target.set_service(service, now)
+        self._announce_change()
+        return self._actions
+
     def handle_target_deregistration(
         self, identifier: str, now: datetime.timedelta
     ) -> list[actions.Action]:
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -256,6 +256,11 @@
         now = self.time_source.now()
         self.output.execute(self._agent.handle_report(report, now))
 
+    def set_target_service(self, service: str) -> None:
+        """Set the service of the VM's target."""
+        now = self.time_source.now()
+        self.output.execute(self._agent.handle_service(service, now))
+
     def record_target_deregistration(self, identifier: str) -> None:
         """Process the deregistration of the target."""
         now = self.time_source.now()
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -84,14 +84,20 @@
 
 
 class TargetLease:
-    """Newest report of the agent's target and its lease."""
+    """Newest report of the agent's target and its lease.
 
-    def __init__(self, timing: ReportTiming) -> None:
+    Args:
+        service: service of the VM's target, empty if it is not known.
+    """
+
+    def __init__(self, timing: ReportTiming, service: str = "") -> None:
         self._timing = timing
+        self._service = service
         self._report: TargetReport | None = None
         self._arrived_at = datetime.timedelta()
         self._sent_at = datetime.timedelta()
         self._lease_end = datetime.timedelta()
+        self._is_trusted = False
         self._unconfirmed: TargetReport | None = None
         self._unconfirmed_at = datetime.timedelta()
         self._deregistered_at: datetime.timedelta | None = None
@@ -102,6 +108,16 @@
         """Return the newest report, ``None`` before the first one."""
         return self._report
 
+    def set_service(self, service: str, now: datetime.timedelta) -> None:
+        """Set the service; the lease of a target of another one ends."""
+        self._service = service
+        if self._report is not None and not self._is_expected(self._report):
+            self._lease_end = min(self._lease_end, now)
+            self._is_trusted = False
+
+    def _is_expected(self, report: TargetReport) -> bool:
+        return not self._service or report.service == self._service
+
     def record_report(
         self, report: TargetReport, now: datetime.timedelta
     ) -> ReportChange:
@@ -157,6 +173,7 @@
         self._arrived_at = now
         self._sent_at = sent_at
         self._lease_end = sent_at + self._timing.lease
+        self._is_trusted = True
         self._unconfirmed = None
         if not same or self._was_sent_after_death(sent_at):
             self._dead_since = None
@@ -184,8 +201,12 @@
         return min(now, earliest + retry_time)
 
     def _needs_confirmation(self, report: TargetReport) -> bool:
-        """Return whether a report contradicts an earlier one."""
+        """Return whether a report contradicts the settings or earlier ones."""
         known = self._report
+        if known is not None and _is_same_instance(known, report):
+            return not self._is_trusted
+        if not self._is_expected(report):
+            return True
         return known is not None and report.born_ms < known.born_ms
 
     def _confirm(self, report: TargetReport, now: datetime.timedelta) -> bool:
@@ -269,7 +290,8 @@
             # A new target may report an earlier start time if the wall clock
             # was set back. It is accepted once the lease of the earlier
             # target has expired.
-            return not silent and report.born_ms < known.born_ms
+            earlier = report.born_ms < known.born_ms
+            return not silent and (earlier or not self._is_expected(report))
         if silent and not report.born_ms:
             # A lower number is that of a new process with this identifier.
             return report.sequence == known.sequence
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -439,6 +439,21 @@
         )
         self.assertNotIn("reset", {p.kind for p in network.to_callers})
 
+    def test_a_report_of_a_service_that_the_vm_does_not_run(self) -> None:
+        # Guards against one heartbeat of another writer that resets all
+        # flows of a live target.
+        network = start()
+        holder = open_flow(network)
+        core = network.agents[holder]
+        core.handle_service(support.SERVICE, network.now)
+        newer = support.build_report(
+            1, identifier="i-new", born_ms=5000, service="other"
+        )
+        requested_actions = core.handle_report(newer, network.now)
+        network.execute(requested_actions, support.agent_address(holder))
+        network.send(0, support.WirePacket(FLOW, "data", 100))
+        self.assertEqual(network.to_callers[-1].kind, "data")
+
     def test_the_end_of_a_target_resets_its_flows(self) -> None:
         network = start()
         holder = open_flow(network)
--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -152,5 +152,56 @@
         self.assertTrue(self.lease.has_exited(support.at(1100)))
 
 
+class ServiceTest(unittest.TestCase):
+    """Guards against reports of targets that are not the VM's own."""
+
+    def setUp(self) -> None:
+        self.lease = target.TargetLease(TIMING, support.SERVICE)
+
+    def report(
+        self, sequence: int, time_ms: int, service: str = "other"
+    ) -> target.ReportChange:
+        """Record a report of a target that started later."""
+        report = support.build_report(
+            sequence, identifier="i-2", born_ms=2000, service=service
+        )
+        return self.lease.record_report(report, support.at(time_ms))
+
+    def test_a_single_report_of_another_service(self) -> None:
+        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
+        self.assertIsNone(self.lease.report)
+
+    def test_another_service_while_the_target_reports(self) -> None:
+        # Guards against one report of another writer that ends all flows.
+        known = support.build_report(5)
+        self.lease.record_report(known, support.at(0))
+        for sequence in range(1, 4):
+            change = self.report(sequence, 700 * sequence)
+            self.assertIs(change, target.ReportChange.OUTDATED)
+            renewed = support.build_report(5 + sequence)
+            time = support.at(700 * sequence + 1)
+            self.lease.record_report(renewed, time)
+        report = self.lease.report
+        assert report is not None
+        self.assertEqual(report.identifier, known.identifier)
+
+    def test_the_service_of_the_vm_changes(self) -> None:
+        known = support.build_report(5)
+        self.lease.record_report(known, support.at(0))
+        self.lease.set_service("other", support.at(500))
+        state = self.lease.get_state(support.at(501))
+        self.assertIs(state, messages.TargetState.UNKNOWN)
+        late = support.build_report(6)
+        self.lease.record_report(late, support.at(600))
+        state = self.lease.get_state(support.at(601))
+        self.assertIs(state, messages.TargetState.UNKNOWN)
+        self.assertIs(self.report(1, 700), target.ReportChange.REPLACED)
+
+    def test_settings_that_lag(self) -> None:
+        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(2, 10), target.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(3, 1200), target.ReportChange.FIRST)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -36,6 +36,7 @@
 seeds = [{seeds}]
 bootstrap = {bootstrap}
 dataDirectory = "{data}"
+service = "mail"
 app = "{agent}:{app}"
 
 [listenAddresses]
