Know all flows of a target only by its age

Cause: the new process took a report with the sequence number 0 or 1 for the first one of a target that had just started, so it was sure to know all flows. An endpoint that counts from 0 sends 1 with its second report. Ruled out: born, which the report carries and which was right. Also unsound was the allowance of 250 ms for a restart: a process may be back sooner.

Change: the agent knows all flows if the target started after this process, or if it is younger than the shortest time until a second report (0.75 intervals). An earlier process can then not have acknowledged one, and so opened no flow. Numbers too high for the age show a wall clock that was set back meanwhile.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -19,7 +19,6 @@
 from egretfork.passthrough import locator
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
-from egretfork.passthrough import placement
 from egretfork.passthrough import slots
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
@@ -37,6 +36,8 @@
 MAX_PENDING_RETURNS = 4_096
 MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_TAG = 0xFFFF_FFFF
+# A target may send its first two reports without a pause.
+FIRST_REPORTS_TIME = 2 * target.MIN_REPORT_GAP
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -78,6 +79,7 @@
         """
         super().__init__(codec, now)
         self._identity = identity
+        self._timing = timing
         self._target = target.TargetLease(timing, service)
         self._schedule = slots.SlotSchedule()
         self._waitlist = waitlist.Waitlist()
@@ -162,15 +164,17 @@
     def _has_seen_start(self, report: target.TargetReport) -> bool:
         """Return whether the target holds only flows of this agent process.
 
-        An earlier process ended at least ``MIN_RESTART_TIME`` before this
-        one started.
+        It does if it started after this process, or if no earlier process can
+        have acknowledged a report of it.
         """
-        if report.sequence <= 1:
-            return True
         if report.age_ms is None or report.age_ms < 0:
             return False
-        earlier_end = self._started_at - placement.MIN_RESTART_TIME
-        return self._now - report.age_ms * MILLISECOND >= earlier_end
+        age = report.age_ms * MILLISECOND
+        if report.sequence * target.MIN_REPORT_GAP > age + FIRST_REPORTS_TIME:
+            # The wall clock was set back after the target had started.
+            return False
+        started_later = self._now - age >= self._started_at
+        return started_later or age < self._timing.first_interval
 
     def handle_service(
         self, service: str, now: datetime.timedelta
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -19,6 +19,8 @@
 
 # Longest time between the deregistration of a target and its exit.
 MAX_EXIT_TIME = datetime.timedelta(seconds=1)
+# Shortest pause of a target before it repeats a report that failed at once.
+MIN_REPORT_GAP = datetime.timedelta(milliseconds=50)
 
 
 class ReportTiming(msgspec.Struct, frozen=True):
@@ -35,6 +37,15 @@
     interval: datetime.timedelta
     retry_interval: datetime.timedelta
 
+    @property
+    def first_interval(self) -> datetime.timedelta:
+        """Return the shortest time from a target's start to a second report.
+
+        This holds if the first one was acknowledged. Targets keep the
+        interval only approximately.
+        """
+        return self.interval * 0.75
+
 
 class TargetReport(msgspec.Struct, frozen=True):
     """Report of a target about itself.
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -164,6 +164,7 @@
         unreachable: addresses whose messages are lost in both directions.
         lost_types: types of messages that are lost.
         sent: number of messages that were sent, by type.
+        sequences: number of reports of each target since its start.
     """
 
     def __init__(
@@ -181,7 +182,7 @@
         self.unreachable: set[model.Endpoint] = set()
         self.lost_types: set[type] = set()
         self.sent: collections.Counter[type] = collections.Counter()
-        self._sequence = 0
+        self.sequences: collections.Counter[int] = collections.Counter()
         for number in range(len(services)):
             self.restart_agent(number)
 
@@ -222,9 +223,9 @@
         age_ms: int | None = None,
     ) -> None:
         """Send a report of a target to its agent."""
-        self._sequence += 1
+        self.sequences[number] += 1
         report = build_report(
-            self._sequence,
+            self.sequences[number],
             identifier=f"i-{number}",
             service=self.services[number],
             leaving=leaving,
--- a/tests/passthrough/test_finder.py
+++ b/tests/passthrough/test_finder.py
@@ -39,6 +39,7 @@
             network.restart_agent(number)
             if with_targets:
                 target.held_flows.clear()
+                network.sequences[number] = 0
                 network.report(number, age_ms=0)
         network.to_callers.clear()
         network.sent.clear()
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -1,6 +1,9 @@
 """Tests of forwarding by entries and agents together."""
 
 import unittest
+from unittest import mock
+
+import msgspec
 
 from egretfork.passthrough import actions
 from egretfork.passthrough import messages
@@ -470,14 +473,16 @@
 class RestartTest(unittest.TestCase):
     """Guards against agents that are wrong about what their target holds."""
 
-    def check_holding(self, **changes: int) -> messages.Holding:
+    def check_holding(
+        self, sequence: int = 5, **changes: int
+    ) -> messages.Holding:
         """Return the reply of an agent 600 ms after its start."""
         network = support.Network((support.SERVICE,), 1)
         network.now = support.at(5000)
         network.restart_agent(0)
         network.now += support.at(600)
         core = network.agents[0]
-        report = support.build_report(5, **changes)
+        report = support.build_report(sequence, **changes)
         core.handle_report(report, network.now)
         query = messages.FlowQuery(FLOW)
         requested = core.handle_message(
@@ -489,11 +494,34 @@
         return sent.message.holding
 
     def test_a_target_that_started_with_its_agent(self) -> None:
-        for age_ms in (100, 600, 700):
+        for age_ms in (200, 599, 600):
             with self.subTest(age_ms=age_ms):
                 holding = self.check_holding(age_ms=age_ms)
                 self.assertIs(holding, messages.Holding.NO)
 
+    def test_a_target_whose_reports_nobody_acknowledged(self) -> None:
+        # It sends the next report an interval after an acknowledgement.
+        interval = support.at(1200)
+        for age_ms, expected in (
+            (890, messages.Holding.NO),
+            (910, messages.Holding.UNSURE),
+        ):
+            timing = msgspec.structs.replace(support.TIMING, interval=interval)
+            with mock.patch.object(support, "TIMING", timing):
+                holding = self.check_holding(age_ms=age_ms)
+            self.assertIs(holding, expected)
+
+    def test_a_second_report_of_a_target_that_counts_from_zero(self) -> None:
+        # Guards against resets of flows that a target holds from before the
+        # restart of its agent.
+        for sequence in (0, 1):
+            holding = self.check_holding(sequence, age_ms=1000)
+            self.assertIs(holding, messages.Holding.UNSURE)
+
+    def test_a_clock_that_was_set_back_by_the_age_of_the_target(self) -> None:
+        holding = self.check_holding(25, age_ms=100)
+        self.assertIs(holding, messages.Holding.UNSURE)
+
     def test_a_target_that_is_older_than_its_agent(self) -> None:
         holding = self.check_holding(age_ms=1000)
         self.assertIs(holding, messages.Holding.UNSURE)
