Do not end on an address that nothing can be sent to

Cause: a join request with the host "*" was added to the replicated members; each member then failed to connect in its tick and ended, also after its next start. A directory whose host has a zero byte ended the tick of each node that sent a heartbeat there; a host name would have blocked it for a resolver.

Change: control refuses join requests without host:port and skips members whose address cannot be connected to; datagrams go to IPv4 addresses only.

--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -327,8 +327,9 @@
             self._send(self._router, [route.client, data])
             return
         address = self._find_address(action.receiver)
-        if address is not None:
-            self._send(self._connect(address), [data])
+        peer = self._connect(address) if address is not None else None
+        if peer is not None:
+            self._send(peer, [data])
 
     def _find_address(self, identity: str) -> model.Endpoint | None:
         found = (
@@ -354,7 +355,11 @@
         for address in addresses:
             self._connect(address)
 
-    def _connect(self, address: model.Endpoint) -> zmq.asyncio.Socket:
+    def _connect(self, address: model.Endpoint) -> zmq.asyncio.Socket | None:
+        """Return the connection to a member, ``None`` if it has no address.
+
+        An unusable address in the list of members must not stop the others.
+        """
         existing = self._peers.get(address)
         if existing is not None:
             return existing
@@ -370,7 +375,12 @@
         peer.setsockopt(zmq.TCP_MAXRT, TCP_RETRANSMIT_TIMEOUT_MS)
         peer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         _enable_heartbeats(peer)
-        peer.connect(f"tcp://{address}")
+        try:
+            peer.connect(f"tcp://{address}")
+        except (zmq.ZMQError, ValueError) as error:
+            peer.close()
+            _log_unusable_address(address, error)
+            return None
         self._peers[address] = peer
         self.add_future(self._receive_replies(peer))
         return peer
@@ -402,6 +412,17 @@
             self._registry.count(reasons.Drop.SEND_FAILED)
 
 
+def _log_unusable_address(address: model.Endpoint, error: Exception) -> None:
+    logs.write(
+        LOGGER,
+        "member_address_unusable",
+        step="connect",
+        peer=str(address),
+        detail=str(error),
+        level=logging.WARNING,
+    )
+
+
 def _enable_heartbeats(watched: zmq.asyncio.Socket) -> None:
     watched.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     watched.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/src/egretfork/datagrams.py
+++ b/src/egretfork/datagrams.py
@@ -116,9 +116,11 @@
         if self._socket is None:
             return
         try:
+            # An address from a message may be a name, whose resolution would
+            # block, or no address at all.
+            socket.inet_aton(peer.host)
             self._socket.sendto(data, (peer.host, peer.port))
-        except (OSError, OverflowError) as error:
-            # An address from a message may have a port out of range.
+        except (OSError, OverflowError, ValueError) as error:
             log_error("send datagram", str(peer), error)
 
     def _read_batch(self, bound: socket.socket) -> None:
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -67,7 +67,7 @@
         self._core = directory.DirectoryCore(self._roster)
         self._socket = datagrams.DatagramService(
             address,
-            self._on_datagram,
+            self.handle_datagram,
             sockets.pop_socket(address.host, address.port),
         )
         self._output = output.ActionExecutor(
@@ -109,7 +109,8 @@
 
     # Messages
 
-    def _on_datagram(self, data: bytes, peer: model.Endpoint) -> None:
+    def handle_datagram(self, data: bytes, peer: model.Endpoint) -> None:
+        """Process a datagram of a node or of another control process."""
         message = messages.decode(data, str(peer))
         if isinstance(message, reasons.Failure):
             self._registry.count(reasons.Drop.MALFORMED)
@@ -123,11 +124,19 @@
             self._output.execute(self._core.handle_message(message, peer, now))
 
     def _handle_join_request(self, message: messages.JoinRequest) -> None:
-        if self._control is not None:
-            member = entries.Member(
-                message.identity, message.name, message.address, voter=False
-            )
-            self._control.handle_join_request(member)
+        if self._control is None:
+            return
+        try:
+            address = model.parse_endpoint(str(message.address))
+        except ValueError as error:
+            # All members would connect to the address.
+            self._registry.count(reasons.Drop.MALFORMED)
+            _log_refused_join(message, str(error))
+            return
+        member = entries.Member(
+            message.identity, message.name, address, voter=False
+        )
+        self._control.handle_join_request(member)
 
     @mode.Service.task
     async def _tick(self) -> None:
@@ -191,6 +200,17 @@
         )
 
 
+def _log_refused_join(message: messages.JoinRequest, detail: str) -> None:
+    logs.write(
+        LOGGER,
+        "join_refused",
+        step="join",
+        peer=message.identity,
+        detail=detail,
+        level=logging.WARNING,
+    )
+
+
 async def submit_declaration(
     control: control_shell.ControlService,
     declaration: routing.Declaration,
--- /dev/null
+++ b/tests/control/test_shell.py
@@ -0,0 +1,140 @@
+"""Tests of the shell of a control process."""
+
+import asyncio
+import datetime
+import logging
+import random
+import unittest
+
+from egretfork import clock
+from egretfork.control import api
+from egretfork.control import commands
+from egretfork.control import core
+from egretfork.control import entries
+from egretfork.control import raft
+from egretfork.control import shell
+from egretfork.control import storage
+from egretfork import metrics
+from egretfork import model
+from egretfork.passthrough import contact
+from egretfork.passthrough import hub
+from egretfork.passthrough import messages
+from egretfork.passthrough import routing
+from egretfork import prebound
+from tests.control import fakes
+from tests.control import processes
+
+OWN_IDENTITY = "m-1"
+HOST = "127.0.0.1"
+UNUSABLE = (
+    model.Endpoint(HOST, 0),
+    model.Endpoint("999.0.0.1", 7720),
+    model.Endpoint("*", 7720),
+    model.Endpoint("a\x00b", 7720),
+)
+TICKS = 5
+
+
+class NoDissemination:
+    """Discards what the service publishes."""
+
+    def publish(self, configuration: model.Configuration) -> None:
+        """Do nothing."""
+
+    def publish_routing(self, newest: routing.Routing) -> None:
+        """Do nothing."""
+
+    def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
+        """Return no confirmations."""
+        return ()
+
+    def forget(self, node: str) -> None:
+        """Do nothing."""
+
+
+def open_member(
+    disk: fakes.FakeFileSystem,
+) -> tuple[core.ControlCore, storage.Storage]:
+    """Load a member from its disk."""
+    member_storage = storage.Storage(disk)
+    loaded = member_storage.load()
+    consensus = raft.Raft(
+        identity=loaded.identity,
+        vote=loaded.vote,
+        initial_log=loaded.log,
+        sequence=loaded.sequence,
+        peer_sequences=loaded.peer_sequences,
+        generator=random.Random(1),
+        now=clock.MonotonicClock().now(),
+        commit_index=loaded.commit_index,
+    )
+    return core.ControlCore("control-1", consensus), member_storage
+
+
+class ControlShellTest(unittest.IsolatedAsyncioTestCase):
+    def build_service(
+        self, others: tuple[entries.Member, ...] = ()
+    ) -> shell.ControlService:
+        """Return the service of a voter among other members."""
+        self.disk = fakes.FakeFileSystem()
+        address = model.Endpoint(HOST, processes.pick_port())
+        own = entries.Member(OWN_IDENTITY, "control-1", address, voter=True)
+        storage.Storage(self.disk).initialise(
+            storage.StoredIdentity(OWN_IDENTITY, "control-1"), (own, *others)
+        )
+        control_core, member_storage = open_member(self.disk)
+        return shell.ControlService(
+            address,
+            control_core,
+            member_storage,
+            NoDissemination(),
+            clock.MonotonicClock(),
+            metrics.Metrics(),
+            lambda: open_member(self.disk),
+        )
+
+    async def test_members_with_unusable_addresses(self) -> None:
+        # Guards against processes that end, again after each start, because
+        # of one entry in the list of members.
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        others = tuple(
+            entries.Member(f"m-{number}", "", address, voter=False)
+            for number, address in enumerate(UNUSABLE, 2)
+        )
+        service = self.build_service(others)
+        await service.start()
+        self.addAsyncCleanup(service.stop)
+        await asyncio.sleep(TICKS * shell.TICK_INTERVAL.total_seconds())
+        self.assertFalse(service.crashed)
+        reply = await service.submit_query(api.Status(1))
+        self.assertIsInstance(reply, api.StatusRead)
+
+    async def test_a_process_with_an_unusable_address_may_not_join(
+        self,
+    ) -> None:
+        control = self.build_service()
+        directory = hub.DirectoryService(
+            model.Endpoint(HOST, 0),
+            "control-1",
+            model.Endpoint(HOST, 0),
+            contact.ContactCore(
+                messages.Role.CONTROL, "control-1", (), datetime.timedelta()
+            ),
+            clock.MonotonicClock(),
+            metrics.Metrics(),
+            prebound.PreboundSockets(()),
+            fakes.FakeFileSystem(),
+        )
+        requests: list[entries.Member] = []
+        control.handle_join_request = requests.append  # type: ignore
+        directory.attach(control)
+        usable = model.Endpoint(HOST, 7720)
+        for address in (*UNUSABLE, usable):
+            request = messages.JoinRequest("m-9", "control-9", address)
+            directory.handle_datagram(messages.encode(request), usable)
+        self.assertEqual([member.address for member in requests], [usable])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
+import socket
 import unittest
+from unittest import mock
 
 from egretfork import datagrams
 from egretfork import model
@@ -30,6 +32,12 @@
         logging.disable(logging.ERROR)
         self.addCleanup(logging.disable, logging.NOTSET)
         service.send(b"", model.Endpoint("127.0.0.1", 70_000))
+        # Guards against an error, or a wait for a resolver, that stops the
+        # tick which sends to an address from a message.
+        with mock.patch.object(socket, "getaddrinfo") as resolve:
+            for host in ("name", "", "*", "a\x00b", "\ud800"):
+                service.send(b"", model.Endpoint(host, 7720))
+            resolve.assert_not_called()
         service.send(bytes(datagrams.MAX_UDP_BYTES + 1), service.address)
         expected = [
             str(number).encode()
