Sync what a member reads from its disk before relying on it

Cause: after a failed write a member reads its files again. A record whose write had succeeded and whose sync had failed counted as durable; the member acknowledged it and sent its write sequence number. If the power then failed, the record was gone, the number was higher than the one on disk, and the member stopped for good as rolled back.

The other files are synced before they are renamed.

--- a/src/egretfork/control/storage.py
+++ b/src/egretfork/control/storage.py
@@ -137,16 +137,22 @@
         self._replace_file(IDENTITY_FILE, identity)
 
     def load(self) -> LoadedState:
-        """Read all files and remove a torn last record.
+        """Read all files, remove a torn last record and sync the rest.
+
+        What was written last may not be durable: the process may have ended
+        before its sync, or the sync may have failed.
 
         Raises:
             records.CorruptionError: a file is missing or damaged.
-            OSError: a file cannot be read or truncated.
+            OSError: a file cannot be read, truncated or synced.
         """
         identity = self._read(IDENTITY_FILE, StoredIdentity)
         vote = self._read(VOTE_FILE, StoredVote)
         snapshot = self._read(SNAPSHOT_FILE, StoredSnapshot)
         stored, torn_bytes = self._load_segment()
+        self._system.sync(SEGMENT_FILE)
+        # Other files are synced before they are renamed.
+        self._system.sync_folder()
         sequences = [item.sequence for item in stored]
         self.sequence = max([vote.sequence, snapshot.sequence, *sequences])
         member_log = _rebuild_log(snapshot, stored)
@@ -238,7 +244,6 @@
         torn_bytes = len(data) - found.size
         if torn_bytes:
             self._system.truncate(SEGMENT_FILE, found.size)
-            self._system.sync(SEGMENT_FILE)
         return stored, torn_bytes
 
 
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -139,10 +139,23 @@
     def start(self, member: FakeMember) -> None:
         """Start a member from its disk."""
         member.disk.failures = 0
-        member.member_storage = storage.Storage(member.disk)
-        loaded = member.member_storage.load()
         member.published = model.Configuration()
         member.queued_events.clear()
+        self._load(member)
+
+    def reopen_failed(self, member: FakeMember) -> None:
+        """Load the disk of a member again if a write has failed."""
+        if member.member_storage is None or not member.member_storage.failure:
+            return
+        try:
+            self._load(member)
+        except OSError:
+            return
+
+    def _load(self, member: FakeMember) -> None:
+        member_storage = storage.Storage(member.disk)
+        loaded = member_storage.load()
+        member.member_storage = member_storage
         member.control_core = core.ControlCore(
             member.name,
             self.build_raft(loaded),
