Publish what a member reads after a failed write

Cause: a member that reads its disk again after a failed write published nothing. Control then told nodes an older version of the routing until the next change. Found by reading, on the path of the disks that were full.

Change: after the load the member publishes the committed state, as at a start.

Evidence: test_a_snapshot_is_published_after_a_failed_write failed before.

--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -136,6 +136,10 @@
         self._router.setsockopt(zmq.TCP_MAXRT, TCP_RETRANSMIT_TIMEOUT_MS)
         _enable_heartbeats(self._router)
         self._router.bind(f"tcp://{self._address}")
+        self._publish_committed()
+
+    def _publish_committed(self) -> None:
+        """Publish the state that the disk shows to be committed."""
         if self._core.configuration.version:
             self._dissemination.publish(self._core.configuration)
         self._dissemination.publish_routing(self._core.declaration.routing)
@@ -202,6 +206,8 @@
             self._report_storage_failure(str(error))
             return
         logs.write(LOGGER, "storage_reopened", step="reopen")
+        # The failed write may have prevented the publication of a snapshot.
+        self._publish_committed()
 
     @mode.Service.timer(CONFIRMATIONS_PERIOD_S)
     async def _read_confirmations(self) -> None:
--- a/tests/control/test_shell.py
+++ b/tests/control/test_shell.py
@@ -10,9 +10,12 @@
 from egretfork.control import api
 from egretfork.control import commands
 from egretfork.control import core
+from egretfork.control import election
 from egretfork.control import entries
+from egretfork.control import events
 from egretfork.control import raft
 from egretfork.control import shell
+from egretfork.control import state
 from egretfork.control import storage
 from egretfork import metrics
 from egretfork import model
@@ -23,6 +26,7 @@
 from egretfork import prebound
 from tests.control import fakes
 from tests.control import processes
+from tests.control import test_declarations
 
 OWN_IDENTITY = "m-1"
 HOST = "127.0.0.1"
@@ -33,16 +37,25 @@
     model.Endpoint("a\x00b", 7720),
 )
 TICKS = 5
+ALWAYS = 1_000_000
+TIMING = election.Timing(
+    startup_timeout_min=datetime.timedelta(milliseconds=50),
+    startup_timeout_max=datetime.timedelta(milliseconds=100),
+)
+
 
+class FakeDissemination:
+    """Records the versions of the routings that the service publishes."""
 
-class NoDissemination:
-    """Discards what the service publishes."""
+    def __init__(self) -> None:
+        self.versions: list[int] = []
 
     def publish(self, configuration: model.Configuration) -> None:
         """Do nothing."""
 
     def publish_routing(self, newest: routing.Routing) -> None:
-        """Do nothing."""
+        """Record the version."""
+        self.versions.append(newest.version)
 
     def list_confirmations(self) -> tuple[commands.NodeVersion, ...]:
         """Return no confirmations."""
@@ -67,6 +80,7 @@
         generator=random.Random(1),
         now=clock.MonotonicClock().now(),
         commit_index=loaded.commit_index,
+        timing=TIMING,
     )
     return core.ControlCore("control-1", consensus), member_storage
 
@@ -77,6 +91,7 @@
     ) -> shell.ControlService:
         """Return the service of a voter among other members."""
         self.disk = fakes.FakeFileSystem()
+        self.dissemination = FakeDissemination()
         address = model.Endpoint(HOST, processes.pick_port())
         own = entries.Member(OWN_IDENTITY, "control-1", address, voter=True)
         storage.Storage(self.disk).initialise(
@@ -87,7 +102,7 @@
             address,
             control_core,
             member_storage,
-            NoDissemination(),
+            self.dissemination,
             clock.MonotonicClock(),
             metrics.Metrics(),
             lambda: open_member(self.disk),
@@ -110,6 +125,26 @@
         reply = await service.submit_query(api.Status(1))
         self.assertIsInstance(reply, api.StatusRead)
 
+    async def test_a_snapshot_is_published_after_a_failed_write(self) -> None:
+        # Guards against a control process that serves an older routing until
+        # the next change: a write failed between the two files of a snapshot.
+        logging.disable(logging.ERROR)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        service = self.build_service()
+        self.disk.failures = ALWAYS
+        await service.start()
+        self.addAsyncCleanup(service.stop)
+        machine = state.StateMachine()
+        machine.apply(commands.Declare(test_declarations.build(3)))
+        member = service.control_core.consensus.log.members[0]
+        snapshot = entries.Snapshot(5, 1, (member,), machine.encode())
+        while service.control_core.status is api.MemberStatus.ACTIVE:
+            await asyncio.sleep(shell.TICK_INTERVAL.total_seconds())
+        self.disk.failures = 0
+        storage.Storage(self.disk).save(events.SaveSnapshot(9, snapshot, ()))
+        await asyncio.sleep(1.5 * shell.REOPEN_PERIOD_S)
+        self.assertEqual(self.dissemination.versions, [-1, 3])
+
     async def test_a_process_with_an_unusable_address_may_not_join(
         self,
     ) -> None:
