Accept sequence numbers of any size in the lease of a target

Cause: the time that follows from missing sequence numbers was calculated without a limit; numbers of 2^51 or more exceeded the range of times, so the heartbeat was answered with 500 after its lease had been renewed in part.

Change: at most a million missing reports count; the check of the age compares numbers. The test of accepted reports now sends several, with numbers from the edges of the ranges, of which most were refused before.

Evidence: test_accepted_reports_are_announced failed before.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -36,8 +36,8 @@
 MAX_PENDING_RETURNS = 4_096
 MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_TAG = 0xFFFF_FFFF
-# A target may send its first two reports without a pause.
-FIRST_REPORTS_TIME = 2 * target.MIN_REPORT_GAP
+# Number of reports that a target may send without a pause after its start.
+FIRST_REPORTS = 2
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -170,7 +170,7 @@
         if report.age_ms is None or report.age_ms < 0:
             return False
         age = report.age_ms * MILLISECOND
-        if report.sequence * target.MIN_REPORT_GAP > age + FIRST_REPORTS_TIME:
+        if report.sequence > FIRST_REPORTS + age // target.MIN_REPORT_GAP:
             # The wall clock was set back after the target had started.
             return False
         started_later = self._now - age >= self._started_at
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -19,6 +19,8 @@
 
 # Longest time between the deregistration of a target and its exit.
 MAX_EXIT_TIME = datetime.timedelta(seconds=1)
+# Limit on the reports between two that arrive.
+MAX_RETRIES = 1_000_000
 # Shortest pause of a target before it repeats a report that failed at once.
 MIN_REPORT_GAP = datetime.timedelta(milliseconds=50)
 
@@ -203,7 +205,7 @@
         one before it, or sooner if that one was not acknowledged. A report
         that follows very soon was sent without waiting for one.
         """
-        retries = report.sequence - known.sequence - 1
+        retries = min(report.sequence - known.sequence - 1, MAX_RETRIES)
         retry_time = retries * self._timing.retry_interval
         if now - self._arrived_at < self._timing.interval / 2:
             earliest = self._sent_at + self._timing.retry_interval
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -86,27 +86,36 @@
                     self.assertIsInstance(result, reasons.Failure)
 
     @hypothesis.given(
-        *[strategies.integers(0, 2**66)] * 3,
-        strategies.floats(0, allow_nan=False, allow_infinity=False),
+        strategies.sampled_from((1, 2**31 - 1, 2**31, 2**64)),
+        strategies.lists(
+            strategies.sampled_from((0, 1, 2**31, 2**63 - 1, 2**63)),
+            max_size=3,
+        ),
+        strategies.sampled_from((None, 1, 2**31, 2**63 - 1)),
+        strategies.floats(0, 1e8),
     )
     def test_accepted_reports_are_announced(
-        self, concurrency: int, sequence: int, born: int, warmup_ms: float
+        self,
+        concurrency: int,
+        sequences: list[int],
+        born: int | None,
+        warmup_ms: float,
     ) -> None:
-        # Guards against an accepted report that a later announcement or tick
+        # Guards against an accepted report that the agent or a later tick
         # fails on.
-        report = parse_changed(
-            concurrency=concurrency,
-            sequence=sequence,
-            born=born,
-            warmupRemainingMs=warmup_ms,
-        )
-        if isinstance(report, reasons.Failure):
-            return
         network = support.Network(("mail",), 1)
         core = network.agents[0]
-        requested_actions = core.handle_report(report, network.now)
-        network.execute(requested_actions, support.agent_address(0))
-        network.advance(300, reports=False)
+        for sequence in sequences:
+            report = parse_changed(
+                concurrency=concurrency,
+                sequence=sequence,
+                born=born or WALL_CLOCK_MS - 100,
+                warmupRemainingMs=warmup_ms,
+            )
+            if isinstance(report, target.TargetReport):
+                requested_actions = core.handle_report(report, network.now)
+                network.execute(requested_actions, support.agent_address(0))
+            network.advance(300, reports=False)
 
     def test_nested_too_deeply(self) -> None:
         # Guards against an error that is not the sender's (500).
