--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -505,3 +505,16 @@
         return isinstance(cluster.replies.get(client), api.MembersChanged)
 
     cluster.run_until(is_done)
+
+
+def build_group(
+    seed: int, voters: int, compact_after_entries: int = 25
+) -> Cluster:
+    """Return a group whose members have become voters."""
+    group = Cluster(seed, compact_after_entries, desired_voters=voters)
+    first = group.add_member(first=True)
+    group.run_until(lambda: first.is_leader)
+    for _ in range(voters - 1):
+        group.add_member()
+    group.run_with_joins(datetime.timedelta(seconds=6))
+    return group
--- a/tests/control/test_disks.py
+++ b/tests/control/test_disks.py
@@ -12,6 +12,7 @@
 SECOND = datetime.timedelta(seconds=1)
 VOTERS = 5
 ALWAYS = 1_000_000
+COMPACT_AFTER_ENTRIES = 7
 SEEDS = range(12)
 
 
@@ -21,16 +22,6 @@
     def setUp(self) -> None:
         self.versions = itertools.count(2)
 
-    def build_group(self, seed: int) -> cluster.Cluster:
-        """Return a group of voters that compacts its log often."""
-        group = cluster.Cluster(seed, 7, desired_voters=VOTERS)
-        first = group.add_member(first=True)
-        group.run_until(lambda: first.is_leader)
-        for _ in range(VOTERS - 1):
-            group.add_member()
-        group.run_with_joins(6 * SECOND)
-        return group
-
     def submit(self, group: cluster.Cluster) -> None:
         """Submit a declaration to the leader, if there is one."""
         leader = group.find_leader()
@@ -65,7 +56,9 @@
     def test_disks_that_are_full_one_after_another(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                group = self.build_group(seed)
+                group = cluster.build_group(
+                    seed, VOTERS, COMPACT_AFTER_ENTRIES
+                )
                 for member in group.rng.sample(group.members, VOTERS):
                     member.disk.failures = ALWAYS
                     duration = group.rng.uniform(1, 5) * SECOND
@@ -79,7 +72,9 @@
         # What the member read again after the failed sync was not durable.
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                group = self.build_group(seed)
+                group = cluster.build_group(
+                    seed, VOTERS, COMPACT_AFTER_ENTRIES
+                )
                 for member in group.rng.sample(group.members, VOTERS):
                     member.disk.fail_after(group.rng.randint(0, 6))
                     duration = group.rng.uniform(1, 5) * SECOND
