--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -507,10 +507,10 @@
     cluster.run_until(is_done)
 
 
-def build_group(
+def form_group(
     seed: int, voters: int, compact_after_entries: int = 25
 ) -> Cluster:
-    """Return a group whose members have become voters."""
+    """Return a group whose members have become voters by joining."""
     group = Cluster(seed, compact_after_entries, desired_voters=voters)
     first = group.add_member(first=True)
     group.run_until(lambda: first.is_leader)
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -134,13 +134,13 @@
     def test_processes_become_voters_automatically(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed):
-                group = cluster.build_group(seed, VOTERS)
+                group = cluster.form_group(seed, VOTERS)
                 self.assertEqual(self.count_voters(group), VOTERS)
 
     def test_two_lost_disks(self) -> None:
         for seed in range(6):
             with self.subTest(seed=seed):
-                group = cluster.build_group(seed, VOTERS)
+                group = cluster.form_group(seed, VOTERS)
                 declare(group, build(3))
                 lost = group.rng.sample(group.members, 2)
                 for member in lost:
@@ -154,7 +154,7 @@
     def test_two_lost_disks_while_all_lose_power(self) -> None:
         for seed in range(6):
             with self.subTest(seed=seed):
-                group = cluster.build_group(seed, VOTERS)
+                group = cluster.form_group(seed, VOTERS)
                 declare(group, build(3))
                 lost = group.rng.sample(group.members, 2)
                 for member in [m for m in group.members if m not in lost]:
@@ -167,7 +167,7 @@
                 self.assertEqual(self.count_voters(group), VOTERS)
 
     def test_a_restart_restores_the_committed_declaration(self) -> None:
-        group = cluster.build_group(0, VOTERS)
+        group = cluster.form_group(0, VOTERS)
         for version in (3, 4):
             declare(group, build(version))
         for member in group.members:
@@ -179,7 +179,7 @@
     def test_a_permanently_lost_member_is_replaced(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed):
-                group = cluster.build_group(seed, VOTERS)
+                group = cluster.form_group(seed, VOTERS)
                 gone = group.rng.choice(group.members)
                 group.crash(gone)
                 gone.lost = True
@@ -189,7 +189,7 @@
                 self.assertEqual(self.count_voters(group), VOTERS)
 
     def test_a_removed_member_that_returns_is_a_learner(self) -> None:
-        group = cluster.build_group(0, VOTERS)
+        group = cluster.form_group(0, VOTERS)
         away = next(m for m in group.members if not m.is_leader)
         group.crash(away)
         group.add_member()
--- a/tests/control/test_disks.py
+++ b/tests/control/test_disks.py
@@ -56,9 +56,7 @@
     def test_disks_that_are_full_one_after_another(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                group = cluster.build_group(
-                    seed, VOTERS, COMPACT_AFTER_ENTRIES
-                )
+                group = cluster.form_group(seed, VOTERS, COMPACT_AFTER_ENTRIES)
                 for member in group.rng.sample(group.members, VOTERS):
                     member.disk.failures = ALWAYS
                     duration = group.rng.uniform(1, 5) * SECOND
@@ -72,9 +70,7 @@
         # What the member read again after the failed sync was not durable.
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                group = cluster.build_group(
-                    seed, VOTERS, COMPACT_AFTER_ENTRIES
-                )
+                group = cluster.form_group(seed, VOTERS, COMPACT_AFTER_ENTRIES)
                 for member in group.rng.sample(group.members, VOTERS):
                     member.disk.fail_after(group.rng.randint(0, 6))
                     duration = group.rng.uniform(1, 5) * SECOND
