--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,9 +21,9 @@
 CRASH_AFTER_S = 0.5
 # ``reuseAfterS`` is 2: the address is free again after that time.
 REUSE_AFTER_S = 2.5
-HEAL_AFTER_START_S = 0.05
+HEAL_AFTER_START_S = 0.03
 WATCH_S = 4.0
-FLOW_PERIOD_S = 0.04
+FLOW_PERIOD_S = 0.02
 
 
 async def send_flows(
--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -112,6 +112,8 @@
         self.control = first + 23
         self.app = first + 24
         self.machines: list[Machine] = []
+        # Keeps the stand-ins, and so their tasks, until the end.
+        self.standins: list[object] = []
         self.commands = {
             name: role["run"].split()
             for name, role in tomllib.loads(
--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -49,6 +49,7 @@
         work_s: float = 0.02,
     ) -> None:
         self._fleet = fleet
+        fleet.standins.append(self)
         self.host = host
         self.service = service
         self.identifier = identifier
