Promote only learners that still reply

Cause: a learner counted as able to take a voter's place if it held all committed entries, also when its process had ended. An unresponsive voter was then removed, and nothing was promoted: the entry of the removal is one that the ended learner lacks. The group was left with a voter fewer. Ruled out: the mark of a departing member alone; it runs out before the voter is taken for unresponsive.

Change: a learner without a reply for 1.5 s, the time after which a voter is replaced, is not promoted and replaces nobody.

--- a/src/egretfork/control/membership.py
+++ b/src/egretfork/control/membership.py
@@ -222,7 +222,7 @@
     ) -> list[str]:
         """Return the learners that can serve as voters.
 
-        They are not about to stop and hold all committed entries.
+        They run, are not about to stop and hold all committed entries.
         """
         return [
             member.identity
@@ -230,4 +230,5 @@
             if not member.voter
             and group.is_caught_up(member)
             and not self._is_departing(member.identity, now)
+            and not group.is_unresponsive(member, now - REPLACE_VOTER_AFTER)
         ]
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -235,6 +235,18 @@
                 self.assertEqual(read(group), build(3))
                 self.assertEqual(self.count_voters(group), VOTERS)
 
+    def test_a_stopped_learner_takes_the_place_of_no_voter(self) -> None:
+        # Guards against removing a voter for a process that has stopped.
+        group = cluster.form_group(0, VOTERS)
+        learner = group.add_member()
+        group.run_with_joins(4 * SECOND)
+        group.stop_for_good(learner)
+        gone = next(m for m in group.members if not m.is_leader)
+        group.crash(gone)
+        group.run_with_joins(4 * SECOND)
+        voters = entries.list_voters(self.read_members(group))
+        self.assertIn(gone.identity, voters)
+
     def test_a_stopping_member_without_a_learner_stays_a_voter(self) -> None:
         # Guards against a planned restart that shrinks the group.
         group = cluster.form_group(0, VOTERS)
