Begin the lease of a target at the start of its process

Cause: the first report that an agent gets, and the first of a later start, counted as sent when it arrived. A heartbeat that a partition had held up for 3 s opened a lease of 1.8 s, though its sender had ended and another service had its address. Only renewals asked when they can have been sent. Evidence: the record shows the late heartbeat 30 ms after the new endpoint's start and the foreign runs from then until the agent read its settings. Ruled out: the order of reports (there is no earlier one); a fresh look at the settings alone, since an agent that restarts after a reuse can get a late report that names the right service.

Change: the first report of a target process opens a lease that begins at the start of that process, by the wall clock of its VM. A process that has run for longer than the lease, or whose age is not known, is relied on from its second report. Reports that follow within half an interval keep the arrival from which the wait counts, so that a target that reports often is used as well. A report born before one that waits for its confirmation needs one too. Ages are computed with a clock that does not follow when the wall clock is set back, so they are never too small.

--- a/src/egretfork/clock.py
+++ b/src/egretfork/clock.py
@@ -1,9 +1,12 @@
 """Clocks for shells; cores receive the current time as an argument."""
 
+import collections.abc
 import datetime
 import time
 import typing
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 
 class Clock(typing.Protocol):
     """Monotonic clock.
@@ -53,3 +56,29 @@
 def read_wall_clock_ms() -> int:
     """Return the wall clock time as milliseconds since the Unix epoch."""
     return time.time_ns() // 1_000_000
+
+
+class LatestWallClock:
+    """Wall clock that does not follow when it is set back.
+
+    It shows the latest time that the wall clock can show now by any of its
+    settings seen so far. The age of a timestamp of this VM is therefore never
+    too small.
+    """
+
+    def __init__(
+        self,
+        time_source: Clock,
+        read_ms: collections.abc.Callable[[], int] = read_wall_clock_ms,
+    ) -> None:
+        self._time_source = time_source
+        self._read_ms = read_ms
+        self._origin_ms = 0
+        self.read_ms()
+
+    def read_ms(self) -> int:
+        """Return the latest time in ms since the Unix epoch."""
+        elapsed_ms = self._time_source.now() // MILLISECOND
+        origin_ms = self._read_ms() - elapsed_ms
+        self._origin_ms = max(self._origin_ms, origin_ms)
+        return self._origin_ms + elapsed_ms
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -6,8 +6,10 @@
 
 A report may arrive long after it was sent, and its sender may have ended
 meanwhile. The lease therefore begins at the earliest time at which the report
-can have been sent, which follows from the report before it. A report that
-contradicts what is known takes effect only if a second one confirms it.
+can have been sent. This follows from the report before it, and for the first
+report of a target process from the start of that process: a process that has
+run for longer than the lease is relied on from its second report. A report
+that contradicts what is known takes effect only if a second one confirms it.
 """
 
 import datetime
@@ -23,6 +25,9 @@
 MAX_RETRIES = 1_000_000
 # Shortest pause of a target before it repeats a report that failed at once.
 MIN_REPORT_GAP = datetime.timedelta(milliseconds=50)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+# Earlier than any lease that still runs.
+LONG_AGO = datetime.timedelta.min / 2
 
 
 class ReportTiming(msgspec.Struct, frozen=True):
@@ -107,6 +112,8 @@
         self._timing = timing
         self._service = service
         self._report: TargetReport | None = None
+        # Arrival of the newest report, or of the one after which those that
+        # followed without an interval came.
         self._arrived_at = datetime.timedelta()
         self._sent_at = datetime.timedelta()
         self._lease_end = datetime.timedelta()
@@ -145,11 +152,11 @@
         if self._needs_confirmation(report) and not self._confirm(report, now):
             return ReportChange.UNCONFIRMED
         if known is None:
-            self._accept(report, now, now)
+            self._accept_first(report, now)
             return ReportChange.FIRST
         if _is_same_instance(known, report):
             return self._renew(known, report, now)
-        self._accept(report, now, now)
+        self._accept_first(report, now)
         return ReportChange.REPLACED
 
     def _renew(
@@ -160,11 +167,13 @@
     ) -> ReportChange:
         """Record a later report of the same target process."""
         if report.sequence < known.sequence:
-            self._accept(report, now, now)
+            self._accept_first(report, now)
             return ReportChange.REPLACED
         ended = self.get_state(now) is messages.TargetState.ENDED
         sent_at = self._estimate_sent(known, report, now)
+        waited_since = self._arrived_at if self._is_early(now) else now
         self._accept(report, now, sent_at)
+        self._arrived_at = waited_since
         if self._is_silent(now):
             return ReportChange.DELAYED
         changed = (known.leaving, known.slots) != (
@@ -173,6 +182,16 @@
         )
         return ReportChange.STATE if changed or ended else ReportChange.NONE
 
+    def _accept_first(
+        self, report: TargetReport, now: datetime.timedelta
+    ) -> None:
+        """Record the first report of a target process."""
+        sent_at = LONG_AGO
+        lease_ms = self._timing.lease // MILLISECOND
+        if report.age_ms is not None and 0 <= report.age_ms <= lease_ms:
+            sent_at = now - report.age_ms * MILLISECOND
+        self._accept(report, now, sent_at)
+
     def _accept(
         self,
         report: TargetReport,
@@ -207,12 +226,16 @@
         """
         retries = min(report.sequence - known.sequence - 1, MAX_RETRIES)
         retry_time = retries * self._timing.retry_interval
-        if now - self._arrived_at < self._timing.interval / 2:
+        if self._is_early(now):
             earliest = self._sent_at + self._timing.retry_interval
         else:
             earliest = self._arrived_at + self._timing.interval
         return min(now, earliest + retry_time)
 
+    def _is_early(self, now: datetime.timedelta) -> bool:
+        """Return whether a report now follows without an interval."""
+        return now - self._arrived_at < self._timing.interval / 2
+
     def _needs_confirmation(self, report: TargetReport) -> bool:
         """Return whether a report contradicts the settings or earlier ones."""
         known = self._report
@@ -220,7 +243,11 @@
             return not self._is_trusted
         if not self._is_expected(report):
             return True
-        return known is not None and report.born_ms < known.born_ms
+        others = (known, self._unconfirmed)
+        return any(
+            other is not None and report.born_ms < other.born_ms
+            for other in others
+        )
 
     def _confirm(self, report: TargetReport, now: datetime.timedelta) -> bool:
         """Return whether an earlier report confirms this one.
--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -70,6 +70,55 @@
             change = self.lease.record_report(report, support.at(time_ms))
             self.assertIs(change, expected)
 
+    def test_a_first_report_that_was_delayed(self) -> None:
+        # Guards against flows opened at an address that may be used again:
+        # the process that sent the report started 3.1 s ago.
+        for age_ms in (3100, None, -1, 2**62):
+            with self.subTest(age_ms=age_ms):
+                lease = target.TargetLease(TIMING)
+                first = support.build_report(1, age_ms=age_ms)
+                change = lease.record_report(first, support.at(0))
+                self.assertIs(change, target.ReportChange.FIRST)
+                state = lease.get_state(support.at(0))
+                self.assertIs(state, messages.TargetState.UNKNOWN)
+                second = support.build_report(2)
+                lease.record_report(second, support.at(1200))
+                state = lease.get_state(support.at(1200))
+                self.assertIs(state, messages.TargetState.READY)
+
+    def test_reports_of_an_old_process_in_quick_succession(self) -> None:
+        # Guards against a target that is never used as it reports often.
+        lease = target.TargetLease(TIMING)
+        for number in range(1, 7):
+            report = support.build_report(number, age_ms=60_000)
+            lease.record_report(report, support.at(100 * number))
+            state = lease.get_state(support.at(100 * number))
+            self.assertIs(state, messages.TargetState.UNKNOWN)
+        report = support.build_report(7, age_ms=60_000)
+        lease.record_report(report, support.at(700))
+        state = lease.get_state(support.at(700))
+        self.assertIs(state, messages.TargetState.READY)
+
+    def test_a_first_report_within_the_lease(self) -> None:
+        lease = target.TargetLease(TIMING)
+        first = support.build_report(1, age_ms=800)
+        lease.record_report(first, support.at(0))
+        for time_ms, expected in (
+            (1000, messages.TargetState.READY),
+            (1001, messages.TargetState.UNKNOWN),
+        ):
+            state = lease.get_state(support.at(time_ms))
+            self.assertIs(state, expected)
+
+    def test_a_delayed_first_report_of_a_later_process(self) -> None:
+        late = support.build_report(
+            1, identifier="i-2", born_ms=2000, age_ms=3100
+        )
+        change = self.lease.record_report(late, support.at(1000))
+        self.assertIs(change, target.ReportChange.REPLACED)
+        state = self.lease.get_state(support.at(1000))
+        self.assertIs(state, messages.TargetState.UNKNOWN)
+
     def test_the_lease_expires(self) -> None:
         state = self.lease.get_state(support.at(1801))
         self.assertIs(state, messages.TargetState.UNKNOWN)
@@ -197,6 +246,16 @@
         self.assertIs(state, messages.TargetState.UNKNOWN)
         self.assertIs(self.report(1, 700), target.ReportChange.REPLACED)
 
+    def test_a_process_older_than_one_that_the_settings_do_not_name(
+        self,
+    ) -> None:
+        # Guards against a late report of a target that ended before the one
+        # of the other service started.
+        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
+        older = support.build_report(1, born_ms=1000, age_ms=500)
+        change = self.lease.record_report(older, support.at(30))
+        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+
     def test_settings_that_lag(self) -> None:
         self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
         self.assertIs(self.report(2, 10), target.ReportChange.UNCONFIRMED)
