Keep a live target when another process reports at its address

Cause: a report with a later start was taken for that of a successor at once, and an agent resets all flows of a target that was replaced. Nothing asked for a sign of the target itself, though its lease was running. Its own heartbeats then counted as outdated. Evidence: the record shows the resets within 1 ms of the heartbeat, and no packet of the endpoint.

Change: while the lease of a target runs, a report of another process waits. It takes effect when the lease has expired, or when the target has shown its end: it has signed off, nothing listens at its address, or it has returned a packet of a flow that was open there. Costs a successor that starts unnoticed at most one lease (1.8 s), in which its address stays in use.

Tests: test_a_new_process_with_the_same_identifier and the tests of a successor expected that one report replaces a live target; that was the fault. They now state what shows the end, and the live target has its own test, so each is as strict as before.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -147,6 +147,14 @@
         """Process a report of the target."""
         self._begin(now)
         change = self._target.record_report(report, now)
+        self._follow_report(report, change)
+        self._announce_change()
+        return self._actions
+
+    def _follow_report(
+        self, report: target.TargetReport, change: target.ReportChange
+    ) -> None:
+        """Adapt the agent's own state to the effect of a report."""
         if change is target.ReportChange.REPLACED:
             self._drop_flows("target started", report.identifier)
         if change in (target.ReportChange.FIRST, target.ReportChange.REPLACED):
@@ -158,8 +166,6 @@
             self._log_report(report, change)
         if change not in target.IGNORED:
             self._schedule.slots = report.slots
-        self._announce_change()
-        return self._actions
 
     def _has_seen_start(self, report: target.TargetReport) -> bool:
         """Return whether the target holds only flows of this agent process.
@@ -470,6 +476,7 @@
         if pending is None:
             self._count(reasons.Drop.UNMATCHED_ANSWER)
             return
+        self._note_lost_flow(packet.flow)
         self.flows.remove(packet.flow)
         original = msgspec.structs.replace(
             packet, data=self._codec.restore_original(packet.data)
@@ -482,6 +489,20 @@
             self._log("packet_returned", packet.flow, "not held by target")
             self._report_not_held(original, pending.entry, pending.trial)
 
+    def _note_lost_flow(self, flow: packets.FlowKey) -> None:
+        """Follow a later target process if the known one lost a flow."""
+        held_flow = self.flows.find(flow)
+        if (
+            held_flow is None
+            or held_flow.stage is not flowtable.FlowStage.OPEN
+            or not held_flow.established
+        ):
+            return
+        successor = self._target.record_lost_flow(self._now)
+        if successor is not None:
+            self._follow_report(successor, target.ReportChange.REPLACED)
+            self._announce_change()
+
     def _forward_to_caller(self, packet: packets.Packet) -> None:
         held_flow = self.flows.find(packet.flow)
         if held_flow is None:
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -10,6 +10,8 @@
 report of a target process from the start of that process: a process that has
 run for longer than the lease is relied on from its second report. A report
 that contradicts what is known takes effect only if a second one confirms it.
+No report of another process takes the place of a target whose lease runs,
+unless the target itself has shown that it ended: flows are lost with it.
 """
 
 import datetime
@@ -120,6 +122,9 @@
         self._is_trusted = False
         self._unconfirmed: TargetReport | None = None
         self._unconfirmed_at = datetime.timedelta()
+        self._successor: TargetReport | None = None
+        self._successor_at = datetime.timedelta()
+        self._flow_lost_at: datetime.timedelta | None = None
         self._deregistered_at: datetime.timedelta | None = None
         self._dead_since: datetime.timedelta | None = None
 
@@ -149,6 +154,10 @@
         known = self._report
         if known is not None and self._is_outdated(known, report, now):
             return ReportChange.OUTDATED
+        if known is not None and self._runs_beside(known, report, now):
+            self._successor = report
+            self._successor_at = now
+            return ReportChange.UNCONFIRMED
         if self._needs_confirmation(report) and not self._confirm(report, now):
             return ReportChange.UNCONFIRMED
         if known is None:
@@ -207,7 +216,10 @@
         self._lease_end = sent_at + self._timing.lease
         self._is_trusted = True
         self._unconfirmed = None
-        if not same or self._was_sent_after_death(sent_at):
+        self._successor = None
+        if not same or _is_after(sent_at, self._flow_lost_at):
+            self._flow_lost_at = None
+        if not same or _is_after(sent_at, self._dead_since):
             self._dead_since = None
         if not same or self._has_survived_deregistration(sent_at):
             self._deregistered_at = None
@@ -276,6 +288,20 @@
         self._deregistered_at = self._deregistered_at or now
         return True
 
+    def record_lost_flow(self, now: datetime.timedelta) -> TargetReport | None:
+        """Record that the target returned a packet of a flow that it held.
+
+        Returns:
+            The report of a later process that the target's lease has kept
+            waiting, if there is one. It takes effect.
+        """
+        self._flow_lost_at = now
+        successor = self._successor
+        if successor is None or now - self._successor_at > self._timing.lease:
+            return None
+        self._accept_first(successor, self._successor_at)
+        return successor
+
     def mark_dead(self, now: datetime.timedelta) -> None:
         """Record that nothing listens at the target's address."""
         self._dead_since = now
@@ -313,6 +339,8 @@
             return messages.DeclineReason.UNKNOWN_TARGET
         if self._report.service != service:
             return messages.DeclineReason.WRONG_SERVICE
+        if self._successor is not None and self._successor.service != service:
+            return messages.DeclineReason.UNKNOWN_TARGET
         return None
 
     def _is_silent(self, now: datetime.timedelta) -> bool:
@@ -340,8 +368,19 @@
         sent_at = self._estimate_sent(known, report, now)
         return not self._has_survived_deregistration(sent_at)
 
-    def _was_sent_after_death(self, sent_at: datetime.timedelta) -> bool:
-        return self._dead_since is None or sent_at > self._dead_since
+    def _runs_beside(
+        self,
+        known: TargetReport,
+        report: TargetReport,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a report names a process beside a running target."""
+        return (
+            not _is_same_instance(known, report)
+            and not self._is_silent(now)
+            and self.get_state(now) is not messages.TargetState.ENDED
+            and self._flow_lost_at is None
+        )
 
     def _has_survived_deregistration(
         self, sent_at: datetime.timedelta
@@ -358,6 +397,12 @@
         )
 
 
+def _is_after(
+    time: datetime.timedelta, noted_at: datetime.timedelta | None
+) -> bool:
+    return noted_at is not None and time > noted_at
+
+
 def _is_same_instance(known: TargetReport, report: TargetReport) -> bool:
     return (known.identifier, known.born_ms, known.service) == (
         report.identifier,
--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -32,17 +32,62 @@
 
     def test_a_late_report_of_an_earlier_process(self) -> None:
         newer = support.build_report(1, identifier="i-2", born_ms=2000)
+        self.lease.mark_dead(support.at(50))
         self.lease.record_report(newer, support.at(100))
         change = self.lease.record_report(
             support.build_report(6, service="other"), support.at(200)
         )
         self.assertIs(change, target.ReportChange.OUTDATED)
 
-    def test_a_new_process_with_the_same_identifier(self) -> None:
+    def test_a_new_process_beside_a_running_target(self) -> None:
+        # Guards against one heartbeat of another writer that ends all flows
+        # of a live target. A real successor is followed after the lease.
         newer = support.build_report(1, born_ms=2000)
         change = self.lease.record_report(newer, support.at(100))
+        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+        self.lease.record_report(support.build_report(6), support.at(1200))
+        state = self.lease.get_state(support.at(1300))
+        self.assertIs(state, messages.TargetState.READY)
+        self.assertIsNone(self.lease.record_lost_flow(support.at(1300)))
+        again = support.build_report(2, born_ms=2000)
+        change = self.lease.record_report(again, support.at(3001))
         self.assertIs(change, target.ReportChange.REPLACED)
 
+    def test_a_new_process_with_the_same_identifier(self) -> None:
+        # The known target has ended: nothing listens, it has deregistered,
+        # or it does not hold a flow that was open.
+        for note_end in (
+            lambda lease: lease.mark_dead(support.at(50)),
+            lambda lease: lease.record_deregistration("i-1", support.at(50)),
+            lambda lease: lease.record_lost_flow(support.at(50)),
+        ):
+            lease = target.TargetLease(TIMING)
+            lease.record_report(support.build_report(5), support.at(0))
+            note_end(lease)
+            newer = support.build_report(1, born_ms=2000)
+            change = lease.record_report(newer, support.at(100))
+            self.assertIs(change, target.ReportChange.REPLACED)
+
+    def test_a_flow_that_is_lost_after_a_report_of_a_new_process(self) -> None:
+        newer = support.build_report(1, born_ms=2000, age_ms=100)
+        self.lease.record_report(newer, support.at(100))
+        accepted = self.lease.record_lost_flow(support.at(300))
+        self.assertEqual(accepted, newer)
+        for time_ms, expected in (
+            (1800, messages.TargetState.READY),
+            (1801, messages.TargetState.UNKNOWN),
+        ):
+            state = self.lease.get_state(support.at(time_ms))
+            self.assertIs(state, expected)
+
+    def test_a_flow_that_is_lost_before_a_renewal(self) -> None:
+        # The target has gone on: it had discarded the flow.
+        self.lease.record_lost_flow(support.at(100))
+        self.lease.record_report(support.build_report(6), support.at(1200))
+        newer = support.build_report(1, born_ms=2000)
+        change = self.lease.record_report(newer, support.at(1300))
+        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+
     def test_a_new_process_without_a_start_time(self) -> None:
         lease = target.TargetLease(TIMING)
         first = support.build_report(5, born_ms=0)
@@ -114,6 +159,7 @@
         late = support.build_report(
             1, identifier="i-2", born_ms=2000, age_ms=3100
         )
+        self.lease.mark_dead(support.at(900))
         change = self.lease.record_report(late, support.at(1000))
         self.assertIs(change, target.ReportChange.REPLACED)
         state = self.lease.get_state(support.at(1000))
