Refuse heartbeats that lack a field or name another address

Cause: zone, version and warmupRemainingMs of a heartbeat could be missing or of any type, and its address was not compared with that of the endpoint beside the agent. By PROTOCOL.md such a heartbeat is from another writer and names no endpoint to use. Ruled out: a missing born; the page's own example has none, so the age of such an endpoint counts as unknown and it is relied on from its second heartbeat.

Change: all fields are decoded with their types, and the address has to be the one in the settings (app). The stand-in endpoint of the process tests sends all of them and waits for its second heartbeat, as it started long ago.

--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -28,6 +28,7 @@
 SERVICE_HOST = "198.18.0.1"
 SERVICE_PORT = 8443
 CLIENT_PORT = 40001
+HEARTBEAT_INTERVAL_S = 1.0
 
 TEMPLATE = """
 nodeName = "{name}"
@@ -128,7 +129,6 @@
     def __init__(self, ports: Ports) -> None:
         self._ports = ports
         self._sequence = 0
-        self._born_ms = time.time_ns() // 1_000_000
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((AGENT, ports.app))
         self.socket.settimeout(5)
@@ -145,7 +145,7 @@
             "state": state,
             "warmupRemainingMs": 0,
             "sequence": self._sequence,
-            "born": self._born_ms,
+            "born": 1000,
         }
         return send_request(
             AGENT, self._ports.control, "PUT", "/instances/i", body
@@ -227,6 +227,7 @@
             self.addCleanup(machine.stop)
             machine.start(bootstrap=True)
         self.endpoint = Endpoint(self.ports)
+        self.reported_since: float | None = None
         self.addCleanup(self.endpoint.socket.close)
         self.client = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.client.bind((CLIENT, self.ports.datagram))
@@ -262,11 +263,20 @@
         return None
 
     def is_ready(self) -> bool:
-        """Send a heartbeat; return whether agent and entry accept work."""
-        reported = self.endpoint.send_heartbeat() == 200
+        """Send a heartbeat; return whether agent and entry accept work.
+
+        An agent relies on an endpoint that has run for long from a second
+        heartbeat, half an interval or more after the first one.
+        """
+        now = time.monotonic()
+        if self.endpoint.send_heartbeat() != 200:
+            self.reported_since = None
+            return False
+        self.reported_since = self.reported_since or now
+        has_confirmed = now - self.reported_since > HEARTBEAT_INTERVAL_S
         port = self.ports.readiness
         status, _ = send_request(ENTRY, port, "GET", "/readiness")
-        return reported and status == 200
+        return has_confirmed and status == 200
 
     def send_packet(self, data: bytes) -> None:
         """Send a packet from the client to the entry."""
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -12,11 +12,13 @@
 
 from egretfork_platform import registrations
 
+from egretfork import model
 from egretfork.passthrough import target
 from egretfork import reasons
 from tests.passthrough import support
 
 WALL_CLOCK_MS = 1787509026000
+ADDRESS = model.Endpoint("10.128.0.9", 8080)
 
 
 def parse_changed(
@@ -36,7 +38,7 @@
     } | changes
     kept = {key: value for key, value in body.items() if value is not None}
     return registrations.parse_heartbeat(
-        "i-1", json.dumps(kept).encode(), WALL_CLOCK_MS
+        "i-1", json.dumps(kept).encode(), ADDRESS, WALL_CLOCK_MS
     )
 
 
@@ -71,6 +73,17 @@
             {"address": "10.128.0.9:70000"},
             {"address": "10.128.0.9"},
             {"address": ""},
+            {"address": None},
+            {"address": "10.128.0.8:8080"},
+            {"address": "10.128.0.9:8081"},
+            {"zone": None},
+            {"zone": ""},
+            {"zone": 1},
+            {"version": None},
+            {"version": ["v1"]},
+            {"warmupRemainingMs": None},
+            {"warmupRemainingMs": "0"},
+            {"warmupRemainingMs": -1},
         ):
             with self.subTest(changes):
                 self.assertIsInstance(
@@ -120,13 +133,15 @@
     def test_nested_too_deeply(self) -> None:
         # Guards against an error that is not the sender's (500).
         result = registrations.parse_heartbeat(
-            "i-1", b'{"service": ' + b"[" * 100_000, WALL_CLOCK_MS
+            "i-1", b'{"service": ' + b"[" * 100_000, ADDRESS, WALL_CLOCK_MS
         )
         self.assertIsInstance(result, reasons.Failure)
 
     @hypothesis.given(strategies.binary(max_size=200))
     def test_arbitrary_bytes(self, body: bytes) -> None:
-        result = registrations.parse_heartbeat("i-1", body, WALL_CLOCK_MS)
+        result = registrations.parse_heartbeat(
+            "i-1", body, ADDRESS, WALL_CLOCK_MS
+        )
         self.assertIsInstance(result, (reasons.Failure, target.TargetReport))
 
 
