Ask the routing in force for every first packet of a flow

Cause: an entry keeps the service that it chose for the first copy of an opening packet. Later copies, copies that wait for a slot, and packets that an agent declined were offered to agents of that service, though the routing in force no longer sends the route there. Ruled out: an entry that falls back to an older routing (versions only rise in its log).

Change: before each sending of a first packet the entry asks the routing in force. If the route no longer sends to the service of the hint, the flow is placed anew; the time limit of a refusal still counts from the first copy. A route that is gone gets no offer. A copy of a packet that a target has accepted is dropped within the caller's attempt, since the target repeats its own packet; a packet that is not a copy, or comes later, opens another flow from the same port and is placed anew.

--- a/src/egretfork/passthrough/entry.py
+++ b/src/egretfork/passthrough/entry.py
@@ -31,6 +31,8 @@
 # longer than this.
 MAX_SERVICE_WAIT = datetime.timedelta(milliseconds=500)
 MAX_ROUTING_WAIT = datetime.timedelta(seconds=1)
+# Time from a caller's first packet of a flow until it gives up.
+ATTEMPT_TIMEOUT = datetime.timedelta(milliseconds=1400)
 
 
 class EntryCore(base.FlowCore):
@@ -194,14 +196,18 @@
         route: routing.Route,
         hint: offers.Hint | None,
     ) -> None:
-        if hint is not None and hint.confirmed:
-            self._forward(packet, hint)
-            return
+        if hint is not None and not route.sends_to(hint.service):
+            if self._was_just_opened(packet, hint):
+                self._drop_flow(packet, hint.service)
+                return
+            del self._hints[packet.flow]
+            hint = None
         if hint is None:
-            service = routing.choose_service(route, packet.flow)
             made = offers.Offers(self._now, not packet.copy_number)
-            if not self._offer_flow(packet, service, made):
-                self._drop_flow(packet, service)
+            self._place_flow(packet, route, made)
+            return
+        if hint.confirmed:
+            self._forward(packet, hint)
             return
         if hint.offers.waiting and self._is_live(hint.agent):
             self._deliver_opening(packet, hint)
@@ -211,6 +217,30 @@
         if not self._offer_flow(packet, hint.service, hint.offers):
             self._deliver_opening(packet, hint)
 
+    def _was_just_opened(
+        self, packet: packets.Packet, hint: offers.Hint
+    ) -> bool:
+        """Return whether a first packet is a copy of one that was accepted.
+
+        The target then repeats its own packet until the caller has it. A
+        packet that is not a copy, or that comes later, opens another flow
+        from the same port.
+        """
+        age = self._now - hint.offers.began_at
+        is_copy = bool(packet.copy_number) and age < ATTEMPT_TIMEOUT
+        return hint.confirmed and is_copy
+
+    def _place_flow(
+        self,
+        packet: packets.Packet,
+        route: routing.Route,
+        made: offers.Offers,
+    ) -> None:
+        """Offer a flow to an agent of a service that its route sends to."""
+        service = routing.choose_service(route, packet.flow)
+        if not self._offer_flow(packet, service, made):
+            self._drop_flow(packet, service)
+
     def _is_live(self, agent: model.Endpoint) -> bool:
         view = self._agents.find(agent)
         return view is not None and view.is_live(self._now)
@@ -269,7 +299,12 @@
     ) -> None:
         """Offer a flow that an agent declined to another agent."""
         hint = self._hints.get(message.flow)
-        if hint is None or hint.confirmed or hint.agent != peer:
+        if (
+            hint is None
+            or hint.confirmed
+            or hint.agent != peer
+            or self._routes is None
+        ):
             return
         packet = self._codec.read_from_caller(message.data)
         if isinstance(packet, reasons.Failure):
@@ -278,6 +313,14 @@
         self._count(reasons.Retry.PEER_REFUSED)
         del self._hints[message.flow]
         made = hint.offers
+        route = self._routes.find(message.flow.service_address)
+        if route is None:
+            self._drop_flow(packet, hint.service)
+            return
+        if not route.sends_to(hint.service):
+            again = offers.Offers(made.began_at, made.is_first_copy)
+            self._place_flow(packet, route, again)
+            return
         made.record_decline(peer, message)
         if made.may_offer() and self._offer_flow(packet, hint.service, made):
             return
@@ -329,7 +372,8 @@
         """Forward the packets that waited for the holder of their flow."""
         view = self._agents.find(found.holder)
         service = view.announcement.service if view is not None else ""
-        hint = offers.Hint(service, found.holder, True, self._now)
+        began = offers.Offers(self._now)
+        hint = offers.Hint(service, found.holder, True, self._now, began)
         self._store_hint(found.flow, hint)
         self._register_flow(found.flow, found.holder)
         for data in found.queued_packets:
--- a/src/egretfork/passthrough/routing.py
+++ b/src/egretfork/passthrough/routing.py
@@ -37,6 +37,12 @@
         current = (share.service for share in self.shares)
         return frozenset(itertools.chain(current, self.previous_services))
 
+    def sends_to(self, service: str) -> bool:
+        """Return whether a service receives new flows of the route."""
+        return any(
+            share.service == service and share.weight for share in self.shares
+        )
+
 
 class Routing(msgspec.Struct, frozen=True, array_like=True):
     """All routes of one declaration version."""
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -7,6 +7,7 @@
 
 from egretfork.passthrough import actions
 from egretfork.passthrough import messages
+from egretfork.passthrough import routing
 from tests.passthrough import support
 
 FLOW = support.build_flow(1)
@@ -613,6 +614,111 @@
         self.assertTrue(self.can_read_packets(network))
 
 
+class RoutingChangeTest(unittest.TestCase):
+    """Guards against first packets that follow an earlier routing."""
+
+    def setUp(self) -> None:
+        self.network = support.Network(("old", "old", "new"), 1)
+        self.network.route(support.build_routing(2, "old"))
+        self.network.advance(300)
+
+    def change_route(self) -> None:
+        """Lead the route to the other service only."""
+        self.network.route(support.build_routing(3, "new", ("old",)))
+
+    def send_copy(self, number: int) -> None:
+        """Send a copy of the flow's first packet."""
+        copy = support.WirePacket(FLOW, "open", copy_number=number)
+        self.network.send(0, copy)
+
+    def make_unreachable(self, *numbers: int) -> None:
+        """Lose all messages to and from agents."""
+        self.network.unreachable.update(map(support.agent_address, numbers))
+
+    def test_a_copy_of_a_packet_that_no_agent_answered(self) -> None:
+        self.make_unreachable(0, 1)
+        self.send_copy(0)
+        self.change_route()
+        self.network.unreachable.clear()
+        self.send_copy(1)
+        self.assertEqual(self.network.list_holders(FLOW), [2])
+
+    def test_a_copy_of_a_packet_that_waits(self) -> None:
+        for target in self.network.targets[:2]:
+            target.silent = True
+        for number in range(100, 106):
+            flow = support.build_flow(number)
+            self.network.send(0, support.WirePacket(flow, "open"))
+            self.network.send(0, support.WirePacket(flow, "data", 10))
+        self.send_copy(0)
+        self.assertGreater(self.network.sent[messages.FlowWaiting], 0)
+        self.assertEqual(self.network.list_holders(FLOW), [])
+        self.change_route()
+        self.send_copy(1)
+        self.assertEqual(self.network.list_holders(FLOW), [2])
+
+    def test_a_packet_that_is_declined_after_the_change(self) -> None:
+        self.make_unreachable(0, 1)
+        self.send_copy(0)
+        self.change_route()
+        self.network.unreachable.clear()
+        packet = support.encode(support.WirePacket(FLOW, "open"))
+        reason = messages.DeclineReason.UNKNOWN_TARGET
+        declined = messages.FlowDeclined(FLOW, reason, packet)
+        for number in (0, 1):
+            self.network.execute(
+                [actions.SendMessage(support.entry_address(0), declined)],
+                support.agent_address(number),
+            )
+        self.assertEqual(self.network.list_holders(FLOW), [2])
+
+    def test_a_packet_that_is_declined_after_its_route_is_gone(self) -> None:
+        self.make_unreachable(0, 1)
+        self.send_copy(0)
+        self.network.route(routing.Routing(3))
+        self.network.unreachable.clear()
+        packet = support.encode(support.WirePacket(FLOW, "open"))
+        reason = messages.DeclineReason.UNKNOWN_TARGET
+        declined = messages.FlowDeclined(FLOW, reason, packet)
+        for number in (0, 1):
+            self.network.execute(
+                [actions.SendMessage(support.entry_address(0), declined)],
+                support.agent_address(number),
+            )
+        self.assertEqual(self.network.list_holders(FLOW), [])
+
+    def test_a_copy_of_a_packet_that_opened_a_flow(self) -> None:
+        # The flow stays where it is: its target repeats its own packet.
+        self.send_copy(0)
+        holders = self.network.list_holders(FLOW)
+        self.change_route()
+        received = len(self.network.targets[holders[0]].received)
+        self.send_copy(1)
+        self.assertEqual(self.network.list_holders(FLOW), holders)
+        self.network.send(0, support.WirePacket(FLOW, "data", 100))
+        target = self.network.targets[holders[0]]
+        self.assertEqual(len(target.received), received + 1)
+
+    def test_another_flow_from_the_same_port(self) -> None:
+        self.send_copy(0)
+        holders = self.network.list_holders(FLOW)
+        self.change_route()
+        self.network.targets[holders[0]].held_flows.clear()
+        self.send_copy(0)
+        self.assertEqual(self.network.list_holders(FLOW), [2])
+
+    def test_a_share_without_weight_gets_no_flow(self) -> None:
+        shares = (routing.Share("old", 0), routing.Share("new", 1))
+        self.make_unreachable(0, 1)
+        self.send_copy(0)
+        self.network.route(
+            routing.Routing(3, (routing.Route(support.ADDRESS, shares),))
+        )
+        self.network.unreachable.clear()
+        self.send_copy(1)
+        self.assertEqual(self.network.list_holders(FLOW), [2])
+
+
 class OpeningTest(unittest.TestCase):
     """Guards against opening flows at the wrong target."""
 
