Keep a member that replies when a join request names its address

Cause: one join request from the address of a member removed that member at once, whatever the age of the request. A request of a process that ran there before (its disk was lost twice) would have removed a running voter and added a member that no longer exists. Ruled out: the lifetime of requests, which counts from their arrival.

Change: a member is replaced only if it has not replied for 750 ms, within which a running one replies to a heartbeat; a request from the address of a member adds nobody until that member is removed.

Measured: test_a_late_join_request_from_the_address_of_a_member fails without the change and passes with it; 19 passed, 0 failed in test_declarations and test_disks, two lost disks among them.

--- a/src/egretfork/control/membership.py
+++ b/src/egretfork/control/membership.py
@@ -19,6 +19,9 @@
 # The sender of an older request may no longer be running.
 REQUEST_LIFETIME = datetime.timedelta(milliseconds=1500)
 REPLACE_VOTER_AFTER = datetime.timedelta(milliseconds=1500)
+# A running member replies to a heartbeat within this time, so that a request
+# from its address is outdated.
+REPLACE_DISK_AFTER = datetime.timedelta(milliseconds=750)
 REMOVE_LEARNER_AFTER = datetime.timedelta(seconds=10)
 
 
@@ -137,13 +140,16 @@
     ) -> events.MembershipChange | None:
         """Remove a member whose address now requests to join anew.
 
-        The process there has a new data folder and thus another identity.
+        The process there has a new data folder and thus another identity. A
+        member that still replies is not replaced: the request is from a
+        process that ran there before it.
         """
         requesting = {item.address for item in self._list_requests(group, now)}
         replaced = (
             member.identity
             for member in group.members
-            if member.address in requesting and member.identity != group.leader
+            if member.address in requesting
+            and group.is_unresponsive(member, now - REPLACE_DISK_AFTER)
         )
         identity = next(replaced, None)
         return (
@@ -153,7 +159,12 @@
     def _add(
         self, group: GroupState, token: int, now: datetime.timedelta
     ) -> events.MembershipChange | None:
-        requesting = self._list_requests(group, now)
+        taken = {member.address for member in group.members}
+        requesting = [
+            item
+            for item in self._list_requests(group, now)
+            if item.address not in taken
+        ]
         return (
             events.AddMemberProposed(token, requesting[0])
             if requesting
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -7,6 +7,7 @@
 
 from egretfork.control import api
 from egretfork.control import commands
+from egretfork.control import core
 from egretfork.control import entries
 from egretfork.control import state
 from egretfork.passthrough import packets
@@ -235,6 +236,21 @@
                 self.assertEqual(read(group), build(3))
                 self.assertEqual(self.count_voters(group), VOTERS)
 
+    def test_a_late_join_request_from_the_address_of_a_member(self) -> None:
+        # Guards against removing a member that runs: the request is from a
+        # process that had the address before.
+        group = cluster.form_group(0, VOTERS)
+        member = next(m for m in group.members if not m.is_leader)
+        earlier = entries.Member("gone", "gone", member.address, voter=False)
+        before = self.read_members(group)
+        for receiver in group.members:
+            assert receiver.control_core is not None
+            receiver.control_core.handle(
+                core.JoinRequested(earlier), group.now
+            )
+        group.run_with_joins(3 * SECOND)
+        self.assertEqual(self.read_members(group), before)
+
     def test_a_stopped_learner_takes_the_place_of_no_voter(self) -> None:
         # Guards against removing a voter for a process that has stopped.
         group = cluster.form_group(0, VOTERS)
