Ignore announcements of agents that have ended since

Cause: an announcement that an agent stops removed the agent at its address, and one with another agent's name replaced the known one, in any order. A late one of an earlier process hid a running agent from lookups until its next announcement. Ruled out: announcements of one process, which carry a sequence number.

Change: the order of incarnations is asked first, for stops and for agents of another VM too. A lower incarnation counts once the known agent has been silent for as long as a restart takes, as before.

--- a/src/egretfork/passthrough/agents.py
+++ b/src/egretfork/passthrough/agents.py
@@ -58,6 +58,8 @@
         """Apply an announcement and return its effect."""
         ended = announcement.state is messages.TargetState.ENDED
         known = self._views.get(address)
+        if known is not None and not known.is_superseded_by(announcement, now):
+            return AnnouncementChange.NONE
         if ended and announcement.stopping:
             self._remove(address)
             return AnnouncementChange.REMOVED
@@ -67,8 +69,6 @@
             self._ring.add(address)
             return AnnouncementChange.NEW
         before = known.announcement
-        if not known.is_superseded_by(announcement, now):
-            return AnnouncementChange.NONE
         known.update(announcement, now)
         unchanged = (before.state, before.service) == (
             announcement.state,
--- a/src/egretfork/passthrough/placement.py
+++ b/src/egretfork/passthrough/placement.py
@@ -71,12 +71,15 @@
         The incarnation is a wall clock time and may decrease if the clock
         is set back before a restart. A lower incarnation is therefore
         accepted once the previous process has been silent for long enough
-        to have been restarted.
+        to have been restarted. The same holds for an agent of another VM
+        that has the address now.
         """
         known = self.announcement
-        if announcement.agent != known.agent:
-            return True
-        if announcement.incarnation == known.incarnation:
+        same_process = (announcement.agent, announcement.incarnation) == (
+            known.agent,
+            known.incarnation,
+        )
+        if same_process:
             return announcement.sequence > known.sequence
         silent = now - self.last_seen_at >= MIN_RESTART_TIME
         return announcement.incarnation > known.incarnation or silent
