--- a/tests/platform/test_declarations.py
+++ b/tests/platform/test_declarations.py
@@ -80,6 +80,34 @@
 class InvalidTest(unittest.TestCase):
     """Guards against invalid configurations that are accepted."""
 
+    def test_fields_of_another_type(self) -> None:
+        for field, value in (
+            ("kind", 7),
+            ("kind", ["safe"]),
+            ("targetLatencyMs", "173"),
+            ("priority", -1),
+            ("maxAttempts", {}),
+        ):
+            with self.subTest(field, value=value):
+                result = parse_routes(build_route(**{field: value}))
+                self.assertIsInstance(result, reasons.Failure)
+
+    def test_services_and_limits_of_another_type(self) -> None:
+        for field, value in (
+            ("services", [{"name": "mail", "healthPath": 1}]),
+            ("services", [{"name": "mail", "maxConnections": "2000"}]),
+            ("services", [{"name": "mail", "protocol": None}]),
+            ("services", [{"name": "mail", "tls": "no"}]),
+            ("limits", []),
+            ("limits", None),
+            ("limits", {"idleTimeoutMs": "15000"}),
+        ):
+            content = {"version": 7, "routes": [], "services": []}
+            body = json.dumps(content | {field: value}).encode()
+            with self.subTest(field, value=value):
+                result = declarations.parse_configuration(body)
+                self.assertIsInstance(result, reasons.Failure)
+
     def test_routes(self) -> None:
         zero_weight = [{"service": "mail", "weight": 0}]
         missing_weight = [{"service": "mail"}]
