Split the times of reports from the lease of a target

Cause: TargetLease held the estimate of sending times, the reports that wait for a confirmation and the signs of the target's end in one class of 400 lines. Ruled out: a change of behaviour; all tests of the lease are as they were, but for names of modules.

Change: reports.py has the reports, SendTimes and WaitingReport; target.py keeps the lease and the signs of the end.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -19,6 +19,7 @@
 from egretfork.passthrough import locator
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import reports
 from egretfork.passthrough import slots
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
@@ -67,7 +68,7 @@
         self,
         identity: AgentIdentity,
         codec: packets.Codec,
-        timing: target.ReportTiming,
+        timing: reports.ReportTiming,
         now: datetime.timedelta,
         service: str = "",
     ) -> None:
@@ -142,7 +143,7 @@
         return self._actions
 
     def handle_report(
-        self, report: target.TargetReport, now: datetime.timedelta
+        self, report: reports.TargetReport, now: datetime.timedelta
     ) -> list[actions.Action]:
         """Process a report of the target."""
         self._begin(now)
@@ -152,22 +153,25 @@
         return self._actions
 
     def _follow_report(
-        self, report: target.TargetReport, change: target.ReportChange
+        self, report: reports.TargetReport, change: reports.ReportChange
     ) -> None:
         """Adapt the agent's own state to the effect of a report."""
-        if change is target.ReportChange.REPLACED:
+        if change is reports.ReportChange.REPLACED:
             self._drop_flows("target started", report.identifier)
-        if change in (target.ReportChange.FIRST, target.ReportChange.REPLACED):
+        if change in (
+            reports.ReportChange.FIRST,
+            reports.ReportChange.REPLACED,
+        ):
             self._suspicion.record_received()
             self._knows_all_flows = (
                 self._knows_all_flows or self._has_seen_start(report)
             )
-        if change is not target.ReportChange.NONE:
+        if change is not reports.ReportChange.NONE:
             self._log_report(report, change)
-        if change not in target.IGNORED:
+        if change not in reports.IGNORED:
             self._schedule.slots = report.slots
 
-    def _has_seen_start(self, report: target.TargetReport) -> bool:
+    def _has_seen_start(self, report: reports.TargetReport) -> bool:
         """Return whether the target holds only flows of this agent process.
 
         It does if it started after this process, or if no earlier process can
@@ -176,7 +180,7 @@
         if report.age_ms is None or report.age_ms < 0:
             return False
         age = report.age_ms * MILLISECOND
-        if report.sequence > FIRST_REPORTS + age // target.MIN_REPORT_GAP:
+        if report.sequence > FIRST_REPORTS + age // reports.MIN_REPORT_GAP:
             # The wall clock was set back after the target had started.
             return False
         started_later = self._now - age >= self._started_at
@@ -500,7 +504,7 @@
             return
         successor = self._target.record_lost_flow(self._now)
         if successor is not None:
-            self._follow_report(successor, target.ReportChange.REPLACED)
+            self._follow_report(successor, reports.ReportChange.REPLACED)
             self._announce_change()
 
     def _forward_to_caller(self, packet: packets.Packet) -> None:
@@ -628,7 +632,7 @@
     # Output
 
     def _log_report(
-        self, report: target.TargetReport, change: target.ReportChange
+        self, report: reports.TargetReport, change: reports.ReportChange
     ) -> None:
         detail = (
             f"change={change} identifier={report.identifier}"
--- a/src/egretfork/passthrough/shell.py
+++ b/src/egretfork/passthrough/shell.py
@@ -16,7 +16,7 @@
 from egretfork.passthrough import entry
 from egretfork.passthrough import messages
 from egretfork.passthrough import output
-from egretfork.passthrough import target
+from egretfork.passthrough import reports
 from egretfork import prebound
 from egretfork import reasons
 
@@ -251,7 +251,7 @@
         now = self.time_source.now()
         self.output.execute(self._agent.handle_probe(listening, now))
 
-    def record_report(self, report: target.TargetReport) -> None:
+    def record_report(self, report: reports.TargetReport) -> None:
         """Process a report of the target."""
         now = self.time_source.now()
         self.output.execute(self._agent.handle_report(report, now))
--- a/tests/passthrough/load.py
+++ b/tests/passthrough/load.py
@@ -20,8 +20,8 @@
 from egretfork.passthrough import entry
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import reports
 from egretfork.passthrough import routing
-from egretfork.passthrough import target
 from tests.passthrough import support
 
 ZONES = 4
@@ -32,7 +32,7 @@
 TARGET_DELAY = 0.0003
 TICK_S = 0.03
 REPORT_S = 0.77
-TIMING = target.ReportTiming(
+TIMING = reports.ReportTiming(
     lease=datetime.timedelta(seconds=1.8),
     interval=datetime.timedelta(seconds=REPORT_S),
     retry_interval=datetime.timedelta(seconds=REPORT_S),
@@ -246,7 +246,7 @@
     # Nodes
 
     def _report(self, number: int, sequence: int) -> None:
-        report = target.TargetReport(
+        report = reports.TargetReport(
             f"i-{number}", 1, sequence, support.SERVICE, 1, False
         )
         core = self._agents[number]
--- a/tests/passthrough/support.py
+++ b/tests/passthrough/support.py
@@ -12,14 +12,14 @@
 from egretfork.passthrough import entry
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
+from egretfork.passthrough import reports
 from egretfork.passthrough import routing
-from egretfork.passthrough import target
 from egretfork import reasons
 
 SERVICE = "mail"
 ADDRESS = packets.ServiceAddress(0xC6120001, 443)
 INTERVAL = datetime.timedelta(milliseconds=100)
-TIMING = target.ReportTiming(
+TIMING = reports.ReportTiming(
     lease=datetime.timedelta(milliseconds=1800),
     interval=INTERVAL,
     retry_interval=INTERVAL,
@@ -126,9 +126,9 @@
     service: str = SERVICE,
     leaving: bool = False,
     age_ms: int | None = 0,
-) -> target.TargetReport:
+) -> reports.TargetReport:
     """Return a report of a target, by default of one that just started."""
-    return target.TargetReport(
+    return reports.TargetReport(
         identifier, born_ms, sequence, service, 2, leaving, age_ms=age_ms
     )
 
--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -3,10 +3,11 @@
 import unittest
 
 from egretfork.passthrough import messages
+from egretfork.passthrough import reports
 from egretfork.passthrough import target
 from tests.passthrough import support
 
-TIMING = target.ReportTiming(
+TIMING = reports.ReportTiming(
     lease=support.at(1800),
     interval=support.at(1200),
     retry_interval=support.at(1000),
@@ -26,7 +27,7 @@
         change = self.lease.record_report(
             support.build_report(5), support.at(200)
         )
-        self.assertIs(change, target.ReportChange.OUTDATED)
+        self.assertIs(change, reports.ReportChange.OUTDATED)
         state = self.lease.get_state(support.at(200))
         self.assertIs(state, messages.TargetState.LEAVING)
 
@@ -37,21 +38,21 @@
         change = self.lease.record_report(
             support.build_report(6, service="other"), support.at(200)
         )
-        self.assertIs(change, target.ReportChange.OUTDATED)
+        self.assertIs(change, reports.ReportChange.OUTDATED)
 
     def test_a_new_process_beside_a_running_target(self) -> None:
         # Guards against one heartbeat of another writer that ends all flows
         # of a live target. A real successor is followed after the lease.
         newer = support.build_report(1, born_ms=2000)
         change = self.lease.record_report(newer, support.at(100))
-        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+        self.assertIs(change, reports.ReportChange.UNCONFIRMED)
         self.lease.record_report(support.build_report(6), support.at(1200))
         state = self.lease.get_state(support.at(1300))
         self.assertIs(state, messages.TargetState.READY)
         self.assertIsNone(self.lease.record_lost_flow(support.at(1300)))
         again = support.build_report(2, born_ms=2000)
         change = self.lease.record_report(again, support.at(3001))
-        self.assertIs(change, target.ReportChange.REPLACED)
+        self.assertIs(change, reports.ReportChange.REPLACED)
 
     def test_a_new_process_with_the_same_identifier(self) -> None:
         # The known target has ended: nothing listens, it has deregistered,
@@ -66,7 +67,7 @@
             note_end(lease)
             newer = support.build_report(1, born_ms=2000)
             change = lease.record_report(newer, support.at(100))
-            self.assertIs(change, target.ReportChange.REPLACED)
+            self.assertIs(change, reports.ReportChange.REPLACED)
 
     def test_a_flow_that_is_lost_after_a_report_of_a_new_process(self) -> None:
         newer = support.build_report(1, born_ms=2000, age_ms=100)
@@ -86,7 +87,7 @@
         self.lease.record_report(support.build_report(6), support.at(1200))
         newer = support.build_report(1, born_ms=2000)
         change = self.lease.record_report(newer, support.at(1300))
-        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+        self.assertIs(change, reports.ReportChange.UNCONFIRMED)
 
     def test_a_new_process_without_a_start_time(self) -> None:
         lease = target.TargetLease(TIMING)
@@ -94,23 +95,23 @@
         lease.record_report(first, support.at(0))
         again = support.build_report(1, born_ms=0)
         change = lease.record_report(again, support.at(1000))
-        self.assertIs(change, target.ReportChange.OUTDATED)
+        self.assertIs(change, reports.ReportChange.OUTDATED)
         change = lease.record_report(again, support.at(3000))
-        self.assertIs(change, target.ReportChange.REPLACED)
+        self.assertIs(change, reports.ReportChange.REPLACED)
 
     def test_a_new_process_with_a_clock_set_back(self) -> None:
         # It is accepted with its second report after the lease has expired:
         # the first may be a late one of an earlier process.
-        reports = [
+        sent = [
             support.build_report(number, identifier="i-2", born_ms=500)
             for number in range(1, 5)
         ]
         for report, time_ms, expected in (
-            (reports[0], 1000, target.ReportChange.OUTDATED),
-            (reports[1], 3000, target.ReportChange.UNCONFIRMED),
-            (reports[1], 4200, target.ReportChange.UNCONFIRMED),
-            (reports[2], 4200, target.ReportChange.REPLACED),
-            (reports[3], 5400, target.ReportChange.NONE),
+            (sent[0], 1000, reports.ReportChange.OUTDATED),
+            (sent[1], 3000, reports.ReportChange.UNCONFIRMED),
+            (sent[1], 4200, reports.ReportChange.UNCONFIRMED),
+            (sent[2], 4200, reports.ReportChange.REPLACED),
+            (sent[3], 5400, reports.ReportChange.NONE),
         ):
             change = self.lease.record_report(report, support.at(time_ms))
             self.assertIs(change, expected)
@@ -123,7 +124,7 @@
                 lease = target.TargetLease(TIMING)
                 first = support.build_report(1, age_ms=age_ms)
                 change = lease.record_report(first, support.at(0))
-                self.assertIs(change, target.ReportChange.FIRST)
+                self.assertIs(change, reports.ReportChange.FIRST)
                 state = lease.get_state(support.at(0))
                 self.assertIs(state, messages.TargetState.UNKNOWN)
                 second = support.build_report(2)
@@ -161,7 +162,7 @@
         )
         self.lease.mark_dead(support.at(900))
         change = self.lease.record_report(late, support.at(1000))
-        self.assertIs(change, target.ReportChange.REPLACED)
+        self.assertIs(change, reports.ReportChange.REPLACED)
         state = self.lease.get_state(support.at(1000))
         self.assertIs(state, messages.TargetState.UNKNOWN)
 
@@ -175,7 +176,7 @@
         change = self.lease.record_report(
             support.build_report(6), support.at(3100)
         )
-        self.assertIs(change, target.ReportChange.DELAYED)
+        self.assertIs(change, reports.ReportChange.DELAYED)
         state = self.lease.get_state(support.at(3100))
         self.assertIs(state, messages.TargetState.UNKNOWN)
 
@@ -193,14 +194,14 @@
         for sequence, time_ms in ((6, 4500), (7, 4510)):
             report = support.build_report(sequence)
             change = self.lease.record_report(report, support.at(time_ms))
-            self.assertIs(change, target.ReportChange.DELAYED)
+            self.assertIs(change, reports.ReportChange.DELAYED)
 
     def test_a_target_that_was_cut_off_is_used_at_once(self) -> None:
         # Its sequence numbers show that it has gone on reporting.
         change = self.lease.record_report(
             support.build_report(10), support.at(5800)
         )
-        self.assertIs(change, target.ReportChange.NONE)
+        self.assertIs(change, reports.ReportChange.NONE)
         state = self.lease.get_state(support.at(5800))
         self.assertIs(state, messages.TargetState.READY)
 
@@ -224,9 +225,9 @@
         # a late report that revives an ended one.
         self.lease.record_deregistration("i-1", support.at(1300))
         for sequence, time_ms, expected in (
-            (6, 2200, target.ReportChange.OUTDATED),
-            (7, 2400, target.ReportChange.OUTDATED),
-            (8, 3600, target.ReportChange.STATE),
+            (6, 2200, reports.ReportChange.OUTDATED),
+            (7, 2400, reports.ReportChange.OUTDATED),
+            (8, 3600, reports.ReportChange.STATE),
         ):
             report = support.build_report(sequence)
             change = self.lease.record_report(report, support.at(time_ms))
@@ -255,7 +256,7 @@
 
     def report(
         self, sequence: int, time_ms: int, service: str = "other"
-    ) -> target.ReportChange:
+    ) -> reports.ReportChange:
         """Record a report of a target that started later."""
         report = support.build_report(
             sequence, identifier="i-2", born_ms=2000, service=service
@@ -263,7 +264,7 @@
         return self.lease.record_report(report, support.at(time_ms))
 
     def test_a_single_report_of_another_service(self) -> None:
-        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(1, 0), reports.ReportChange.UNCONFIRMED)
         self.assertIsNone(self.lease.report)
 
     def test_another_service_while_the_target_reports(self) -> None:
@@ -272,7 +273,7 @@
         self.lease.record_report(known, support.at(0))
         for sequence in range(1, 4):
             change = self.report(sequence, 700 * sequence)
-            self.assertIs(change, target.ReportChange.OUTDATED)
+            self.assertIs(change, reports.ReportChange.OUTDATED)
             renewed = support.build_report(5 + sequence)
             time = support.at(700 * sequence + 1)
             self.lease.record_report(renewed, time)
@@ -290,22 +291,22 @@
         self.lease.record_report(late, support.at(600))
         state = self.lease.get_state(support.at(601))
         self.assertIs(state, messages.TargetState.UNKNOWN)
-        self.assertIs(self.report(1, 700), target.ReportChange.REPLACED)
+        self.assertIs(self.report(1, 700), reports.ReportChange.REPLACED)
 
     def test_a_process_older_than_one_that_the_settings_do_not_name(
         self,
     ) -> None:
         # Guards against a late report of a target that ended before the one
         # of the other service started.
-        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(1, 0), reports.ReportChange.UNCONFIRMED)
         older = support.build_report(1, born_ms=1000, age_ms=500)
         change = self.lease.record_report(older, support.at(30))
-        self.assertIs(change, target.ReportChange.UNCONFIRMED)
+        self.assertIs(change, reports.ReportChange.UNCONFIRMED)
 
     def test_settings_that_lag(self) -> None:
-        self.assertIs(self.report(1, 0), target.ReportChange.UNCONFIRMED)
-        self.assertIs(self.report(2, 10), target.ReportChange.UNCONFIRMED)
-        self.assertIs(self.report(3, 1200), target.ReportChange.FIRST)
+        self.assertIs(self.report(1, 0), reports.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(2, 10), reports.ReportChange.UNCONFIRMED)
+        self.assertIs(self.report(3, 1200), reports.ReportChange.FIRST)
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -13,7 +13,7 @@
 from egretfork_platform import registrations
 
 from egretfork import model
-from egretfork.passthrough import target
+from egretfork.passthrough import reports
 from egretfork import reasons
 from tests.passthrough import support
 
@@ -23,7 +23,7 @@
 
 def parse_changed(
     **changes: typing.Any,
-) -> target.TargetReport | reasons.Failure:
+) -> reports.TargetReport | reasons.Failure:
     """Parse a valid heartbeat with changes; ``None`` omits a field."""
     body = {
         "service": "mail",
@@ -46,14 +46,14 @@
     """Guards against heartbeats that are converted or accepted wrongly."""
 
     def test_valid(self) -> None:
-        expected = target.TargetReport(
+        expected = reports.TargetReport(
             "i-1", 1787509025714, 4, "mail", 2, False, 250, 286
         )
         self.assertEqual(parse_changed(), expected)
 
     def test_leaving(self) -> None:
         report = parse_changed(state="draining", born=None)
-        assert isinstance(report, target.TargetReport)
+        assert isinstance(report, reports.TargetReport)
         self.assertTrue(report.leaving)
         self.assertEqual(report.born_ms, 0)
 
@@ -125,7 +125,7 @@
                 born=born or WALL_CLOCK_MS - 100,
                 warmupRemainingMs=warmup_ms,
             )
-            if isinstance(report, target.TargetReport):
+            if isinstance(report, reports.TargetReport):
                 requested_actions = core.handle_report(report, network.now)
                 network.execute(requested_actions, support.agent_address(0))
             network.advance(300, reports=False)
@@ -142,7 +142,7 @@
         result = registrations.parse_heartbeat(
             "i-1", body, ADDRESS, WALL_CLOCK_MS
         )
-        self.assertIsInstance(result, (reasons.Failure, target.TargetReport))
+        self.assertIsInstance(result, (reasons.Failure, reports.TargetReport))
 
 
 if __name__ == "__main__":
