Move announcements and returned packets out of the agent core

Ruled out: a change of behaviour.

Change: announcer.py decides when the target is announced and to which entries, returns.py keeps the tags of delivered packets.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -6,7 +6,6 @@
 target rejects is returned to the entry that delivered it.
 """
 
-import collections
 import datetime
 
 import msgspec
@@ -14,12 +13,14 @@
 from egretfork import metrics
 from egretfork import model
 from egretfork.passthrough import actions
+from egretfork.passthrough import announcer
 from egretfork.passthrough import base
 from egretfork.passthrough import flowtable
 from egretfork.passthrough import locator
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
 from egretfork.passthrough import reports
+from egretfork.passthrough import returns
 from egretfork.passthrough import slots
 from egretfork.passthrough import suspicion
 from egretfork.passthrough import target
@@ -27,16 +28,10 @@
 from egretfork.passthrough import workload
 from egretfork import reasons
 
-ANNOUNCE_PERIOD = datetime.timedelta(milliseconds=200)
 # Idle flows are removed after this time. An agent that has run for longer has
 # seen a packet of every flow that its target still holds.
 FLOW_IDLE_LIMIT = datetime.timedelta(seconds=60)
-# Limit on the announcements that an agent sends per second. The period grows
-# with the number of entries to stay within it.
-MAX_ANNOUNCEMENTS_PER_S = 50
-MAX_PENDING_RETURNS = 4_096
 MILLISECOND = datetime.timedelta(milliseconds=1)
-MAX_TAG = 0xFFFF_FFFF
 # Number of reports that a target may send without a pause after its start.
 FIRST_REPORTS = 2
 
@@ -53,14 +48,6 @@
     incarnation: int
 
 
-class _PendingReturn(msgspec.Struct, frozen=True):
-    """A delivered packet that the target may still return."""
-
-    entry: model.Endpoint
-    opens: bool
-    trial: bool
-
-
 class AgentCore(base.FlowCore):
     """Forwards packets between entries, callers and one target."""
 
@@ -87,18 +74,11 @@
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT, self._schedule)
         self._started_at = now
         self._knows_all_flows = False
-        self._entries: tuple[model.Endpoint, ...] = ()
         self._locator = locator.FlowLocator(now)
-        self._pending_returns: collections.OrderedDict[int, _PendingReturn] = (
-            collections.OrderedDict()
-        )
-        self._next_tag = 1
+        self._pending_returns = returns.PendingReturns()
         self._workload = workload.Workload(now)
         self._suspicion = suspicion.Suspicion()
-        self._sequence = 0
-        self._next_announcement_at = now
-        self._announced_state = messages.TargetState.UNKNOWN
-        self._announced_target_exited = False
+        self._announcer = announcer.Announcer(now)
         self._stopping = False
 
     # Events
@@ -224,7 +204,7 @@
             self._drop_flows("target ended", "")
         if self._suspicion.is_probe_due(self._target.get_state(now), now):
             self._actions.append(actions.ProbeTarget())
-        if now >= self._next_announcement_at:
+        if self._announcer.is_due(now):
             self._announce()
         self._announce_change()
         return self._actions
@@ -266,11 +246,8 @@
     ) -> list[actions.Action]:
         """Set the entries and announce the target to new ones immediately."""
         self._begin(now)
-        if entries == self._entries:
-            return self._actions
-        added = set(entries) - set(self._entries)
-        self._entries = entries
-        self._announce_to(tuple(sorted(added)))
+        if entries != self._announcer.entries:
+            self._announce_to(self._announcer.set_entries(entries))
         return self._actions
 
     def get_state(self, now: datetime.timedelta) -> messages.TargetState:
@@ -436,12 +413,9 @@
         entry: model.Endpoint,
         trial: bool = False,
     ) -> None:
-        tag = self._next_tag
-        self._next_tag = tag % MAX_TAG + 1
+        pending = returns.PendingReturn(entry, packet.opens, trial)
+        tag = self._pending_returns.add(pending)
         self._suspicion.record_sent(self._now)
-        self._pending_returns[tag] = _PendingReturn(entry, packet.opens, trial)
-        if len(self._pending_returns) > MAX_PENDING_RETURNS:
-            self._pending_returns.popitem(last=False)
         data = self._codec.write_tag(packet.data, tag)
         self._actions.append(actions.SendToTarget(data))
 
@@ -476,7 +450,7 @@
     # Packets of the target
 
     def _handle_returned_packet(self, packet: packets.Packet) -> None:
-        pending = self._pending_returns.pop(packet.tag, None)
+        pending = self._pending_returns.pop(packet.tag)
         if pending is None:
             self._count(reasons.Drop.UNMATCHED_ANSWER)
             return
@@ -587,45 +561,39 @@
     def _announce_change(self) -> None:
         state = self._target.get_state(self._now)
         target_exited = self._target.has_exited(self._now)
-        if (state, target_exited) != (
-            self._announced_state,
-            self._announced_target_exited,
-        ):
+        if self._announcer.has_changed(state, target_exited):
             self._announce()
 
     def _announce(self) -> None:
-        self._next_announcement_at = self._now + self._compute_period()
-        self._announce_to(self._entries)
+        self._announcer.schedule(self._now)
+        self._announce_to(self._announcer.entries)
 
     def _announce_to(self, entries: tuple[model.Endpoint, ...]) -> None:
-        self._announced_state = self._target.get_state(self._now)
-        self._announced_target_exited = self._target.has_exited(self._now)
-        self._sequence += 1
+        self._announcer.record(
+            self._target.get_state(self._now),
+            self._target.has_exited(self._now),
+        )
         announcement = self._build_announcement()
         for entry in entries:
             self._send(entry, announcement)
 
-    def _compute_period(self) -> datetime.timedelta:
-        minimum_s = len(self._entries) / MAX_ANNOUNCEMENTS_PER_S
-        return max(ANNOUNCE_PERIOD, datetime.timedelta(seconds=minimum_s))
-
     def _build_announcement(self) -> messages.Announcement:
         report = self._target.report
         return messages.Announcement(
             agent=self._identity.name,
             availability_zone=self._identity.availability_zone,
             incarnation=self._identity.incarnation,
-            sequence=self._sequence,
+            sequence=self._announcer.sequence,
             service=report.service if report else "",
-            state=self._announced_state,
+            state=self._announcer.state,
             slots=report.slots if report else 1,
             flows=self.flows.open_count,
             running=self._schedule.running_count,
             warmup_ms=report.warmup_ms if report else 0,
             stopping=self._stopping,
             recent_load=round(self._workload.read_recent(self._now), 1),
-            period_ms=self._compute_period() // MILLISECOND,
-            target_exited=self._announced_target_exited,
+            period_ms=self._announcer.period // MILLISECOND,
+            target_exited=self._announcer.target_exited,
             workload=round(self._workload.compute(self._now), 2),
         )
 
