--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -635,6 +635,17 @@
         """Lose all messages to and from agents."""
         self.network.unreachable.update(map(support.agent_address, numbers))
 
+    def decline(self) -> None:
+        """Decline the flow from each agent of the earlier service."""
+        packet = support.encode(support.WirePacket(FLOW, "open"))
+        reason = messages.DeclineReason.UNKNOWN_TARGET
+        declined = messages.FlowDeclined(FLOW, reason, packet)
+        for number in (0, 1):
+            self.network.execute(
+                [actions.SendMessage(support.entry_address(0), declined)],
+                support.agent_address(number),
+            )
+
     def test_a_copy_of_a_packet_that_no_agent_answered(self) -> None:
         self.make_unreachable(0, 1)
         self.send_copy(0)
@@ -662,14 +673,7 @@
         self.send_copy(0)
         self.change_route()
         self.network.unreachable.clear()
-        packet = support.encode(support.WirePacket(FLOW, "open"))
-        reason = messages.DeclineReason.UNKNOWN_TARGET
-        declined = messages.FlowDeclined(FLOW, reason, packet)
-        for number in (0, 1):
-            self.network.execute(
-                [actions.SendMessage(support.entry_address(0), declined)],
-                support.agent_address(number),
-            )
+        self.decline()
         self.assertEqual(self.network.list_holders(FLOW), [2])
 
     def test_a_packet_that_is_declined_after_its_route_is_gone(self) -> None:
@@ -677,14 +681,7 @@
         self.send_copy(0)
         self.network.route(routing.Routing(3))
         self.network.unreachable.clear()
-        packet = support.encode(support.WirePacket(FLOW, "open"))
-        reason = messages.DeclineReason.UNKNOWN_TARGET
-        declined = messages.FlowDeclined(FLOW, reason, packet)
-        for number in (0, 1):
-            self.network.execute(
-                [actions.SendMessage(support.entry_address(0), declined)],
-                support.agent_address(number),
-            )
+        self.decline()
         self.assertEqual(self.network.list_holders(FLOW), [])
 
     def test_a_copy_of_a_packet_that_opened_a_flow(self) -> None:
