Let a learner that hears no leader ask to join again

Cause: a process sends join requests only while it knows no leader, and only the election timer of a voter forgets one. A learner that was removed while it was cut off kept its leader and never asked again. Ruled out: voters, whose election timer forgets the leader.

Change: a member that is no voter forgets its leader when its election timeout ends. A request of a process that is still a member has no effect.

--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -62,8 +62,18 @@
             self._send_hellos()
         elif self.leadership is not None:
             self._tick_leader(self.leadership)
-        elif self._now >= self._election_deadline and self.is_voter:
+        elif self._now >= self._election_deadline:
+            self._on_leader_silent()
+
+    def _on_leader_silent(self) -> None:
+        """Start an election; a member that is no voter forgets its leader.
+
+        It may have been removed meanwhile and then has to ask to join.
+        """
+        if self.is_voter:
             self._start_election(pre_vote=True)
+        else:
+            self._become_follower("")
 
     def _tick_leader(self, leader: leadership.Leadership) -> None:
         since = self._now - self._timing.election_timeout_max
--- a/tests/control/test_declarations.py
+++ b/tests/control/test_declarations.py
@@ -236,6 +236,23 @@
                 self.assertEqual(read(group), build(3))
                 self.assertEqual(self.count_voters(group), VOTERS)
 
+    def test_a_learner_that_was_cut_off_joins_again(self) -> None:
+        # Guards against a process that waits for a leader that has removed
+        # it, and is then missing when a voter has to be replaced.
+        group = cluster.form_group(0, VOTERS)
+        learner = group.add_member()
+        group.run_with_joins(4 * SECOND)
+        others = [m.identity for m in group.members if m is not learner]
+        group.blocked_links.update((learner.identity, m) for m in others)
+        group.blocked_links.update((m, learner.identity) for m in others)
+        group.run(15 * SECOND)
+        known = entries.list_identities(self.read_members(group))
+        self.assertNotIn(learner.identity, known)
+        group.blocked_links.clear()
+        group.run_with_joins(4 * SECOND)
+        known = entries.list_identities(self.read_members(group))
+        self.assertIn(learner.identity, known)
+
     def test_a_late_join_request_from_the_address_of_a_member(self) -> None:
         # Guards against removing a member that runs: the request is from a
         # process that had the address before.
