--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -381,6 +381,7 @@
         if members == self._connected_members:
             return
         self._connected_members = members
+        _log_members(members)
         addresses = {member.address for member in members} - {self._address}
         for address in self._peers.keys() - addresses:
             self._peers.pop(address).close(CLOSE_LINGER_MS)
@@ -444,6 +445,19 @@
             self._registry.count(reasons.Drop.SEND_FAILED)
 
 
+def _log_members(members: tuple[entries.Member, ...]) -> None:
+    voters = ",".join(member.identity for member in members if member.voter)
+    learners = ",".join(
+        member.identity for member in members if not member.voter
+    )
+    logs.write(
+        LOGGER,
+        "members_changed",
+        step="consensus",
+        detail=f"voters={voters} learners={learners}",
+    )
+
+
 def _log_unusable_address(address: model.Endpoint, error: Exception) -> None:
     logs.write(
         LOGGER,
