Count the start of an agent in the age of its first report

Change: a report cannot have been sent before the agent began to listen, as its connection is not older. The lease of a first report begins at the start of the target process or of the agent, whichever is later. A late report still opens no lease at an agent that has run for longer.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -68,7 +68,7 @@
         super().__init__(codec, now)
         self._identity = identity
         self._timing = timing
-        self._target = target.TargetLease(timing, service)
+        self._target = target.TargetLease(timing, service, now)
         self._schedule = slots.SlotSchedule()
         self._waitlist = waitlist.Waitlist()
         self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT, self._schedule)
--- a/src/egretfork/passthrough/reports.py
+++ b/src/egretfork/passthrough/reports.py
@@ -2,8 +2,9 @@
 
 A report may arrive long after it was sent, and its sender may have ended
 meanwhile. Only the earliest time at which it can have been sent is certain.
-This follows from the report before it, and for the first report of a target
-process from the start of that process.
+This follows from the report before it. The first report of a target process
+was sent after the start of that process, and over a connection that did not
+exist before the agent listened.
 """
 
 import datetime
@@ -102,12 +103,18 @@
 class SendTimes:
     """Estimates when the reports of one target process were sent.
 
+    Args:
+        listening_since: time before which no target could connect.
+
     Attributes:
         sent_at: earliest time at which the newest report can have been sent.
     """
 
-    def __init__(self, timing: ReportTiming) -> None:
+    def __init__(
+        self, timing: ReportTiming, listening_since: datetime.timedelta
+    ) -> None:
         self._timing = timing
+        self._listening_since = listening_since
         # Arrival of the newest report, or of the one after which those that
         # followed without an interval came.
         self._arrived_at = datetime.timedelta()
@@ -116,14 +123,15 @@
     def begin(self, report: TargetReport, now: datetime.timedelta) -> None:
         """Record the first known report of a target process.
 
-        It counts as sent at the start of the process, and as sent long ago
-        if that is not known or further back than a lease lasts.
+        It counts as sent at the start of the process, or when the agent
+        began to listen if that was later.
         """
         self._arrived_at = now
-        self.sent_at = LONG_AGO
+        self.sent_at = self._listening_since
         lease_ms = self._timing.lease // MILLISECOND
         if report.age_ms is not None and 0 <= report.age_ms <= lease_ms:
-            self.sent_at = now - report.age_ms * MILLISECOND
+            started_at = now - report.age_ms * MILLISECOND
+            self.sent_at = max(started_at, self._listening_since)
 
     def estimate(
         self,
--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -5,11 +5,12 @@
 opened there until it reports again.
 
 The lease begins at the earliest time at which the report can have been sent:
-a target process that has run for longer than the lease when its first report
-arrives is relied on from its second one. A report that contradicts what is
-known takes effect only if a second one confirms it. No report of another
-process takes the place of a target whose lease runs, unless the target itself
-has shown that it ended: flows are lost with it.
+if both the target process and the agent have run for longer than the lease
+when the first report of the process arrives, the target is relied on from its
+second one. A report that contradicts what is known takes effect only if a
+second one confirms it. No report of another process takes the place of a
+target whose lease runs, unless the target itself has shown that it ended:
+flows are lost with it.
 """
 
 import datetime
@@ -26,15 +27,20 @@
 
     Args:
         service: service of the VM's target, empty if it is not known.
+        listening_since: time before which no target could connect to the
+            agent.
     """
 
     def __init__(
-        self, timing: reports.ReportTiming, service: str = ""
+        self,
+        timing: reports.ReportTiming,
+        service: str = "",
+        listening_since: datetime.timedelta = reports.LONG_AGO,
     ) -> None:
         self._timing = timing
         self._service = service
         self._report: reports.TargetReport | None = None
-        self._send_times = reports.SendTimes(timing)
+        self._send_times = reports.SendTimes(timing, listening_since)
         self._lease_end = datetime.timedelta()
         self._is_trusted = False
         self._unconfirmed: reports.WaitingReport | None = None
--- a/tests/passthrough/test_forwarding.py
+++ b/tests/passthrough/test_forwarding.py
@@ -748,9 +748,10 @@
 
     def test_a_first_report_of_unknown_age_after_a_restart(self) -> None:
         # Guards against flows opened for a target that has ended: the report
-        # may have been held up.
+        # may have been held up since the agent started.
         network = start((support.SERVICE,), 1)
         network.restart_agent(0)
+        network.advance(1900, reports=False)
         network.report(0, age_ms=60_000)
         network.send(0, support.WirePacket(FLOW, "open"))
         self.assertEqual(network.targets[0].received, [])
--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -145,6 +145,18 @@
         state = lease.get_state(support.at(700))
         self.assertIs(state, messages.TargetState.READY)
 
+    def test_a_first_report_soon_after_the_agent_has_started(self) -> None:
+        # The connection that it arrived on is not older than the agent.
+        lease = target.TargetLease(TIMING, listening_since=support.at(100))
+        first = support.build_report(1, age_ms=60_000)
+        lease.record_report(first, support.at(500))
+        for time_ms, expected in (
+            (1900, messages.TargetState.READY),
+            (1901, messages.TargetState.UNKNOWN),
+        ):
+            state = lease.get_state(support.at(time_ms))
+            self.assertIs(state, expected)
+
     def test_a_first_report_within_the_lease(self) -> None:
         lease = target.TargetLease(TIMING)
         first = support.build_report(1, age_ms=800)
