Share the check of a lease's end in the tests of the lease

Cause: four tests had the same lines. Ruled out: a weaker check; each still asks at the last moment and a millisecond later.

--- a/tests/passthrough/test_target.py
+++ b/tests/passthrough/test_target.py
@@ -21,6 +21,13 @@
         self.lease = target.TargetLease(TIMING)
         self.lease.record_report(support.build_report(5), support.at(0))
 
+    def check_lease_end(self, lease: target.TargetLease, time_ms: int) -> None:
+        """Check the last moment at which a target is ready."""
+        state = lease.get_state(support.at(time_ms))
+        self.assertIs(state, messages.TargetState.READY)
+        state = lease.get_state(support.at(time_ms + 1))
+        self.assertIs(state, messages.TargetState.UNKNOWN)
+
     def test_a_late_report_of_the_same_process(self) -> None:
         leaving = support.build_report(6, leaving=True)
         self.lease.record_report(leaving, support.at(100))
@@ -74,12 +81,7 @@
         self.lease.record_report(newer, support.at(100))
         accepted = self.lease.record_lost_flow(support.at(300))
         self.assertEqual(accepted, newer)
-        for time_ms, expected in (
-            (1800, messages.TargetState.READY),
-            (1801, messages.TargetState.UNKNOWN),
-        ):
-            state = self.lease.get_state(support.at(time_ms))
-            self.assertIs(state, expected)
+        self.check_lease_end(self.lease, 1800)
 
     def test_a_flow_that_is_lost_before_a_renewal(self) -> None:
         # The target has gone on: it had discarded the flow.
@@ -150,23 +152,13 @@
         lease = target.TargetLease(TIMING, listening_since=support.at(100))
         first = support.build_report(1, age_ms=60_000)
         lease.record_report(first, support.at(500))
-        for time_ms, expected in (
-            (1900, messages.TargetState.READY),
-            (1901, messages.TargetState.UNKNOWN),
-        ):
-            state = lease.get_state(support.at(time_ms))
-            self.assertIs(state, expected)
+        self.check_lease_end(lease, 1900)
 
     def test_a_first_report_within_the_lease(self) -> None:
         lease = target.TargetLease(TIMING)
         first = support.build_report(1, age_ms=800)
         lease.record_report(first, support.at(0))
-        for time_ms, expected in (
-            (1000, messages.TargetState.READY),
-            (1001, messages.TargetState.UNKNOWN),
-        ):
-            state = lease.get_state(support.at(time_ms))
-            self.assertIs(state, expected)
+        self.check_lease_end(lease, 1000)
 
     def test_a_delayed_first_report_of_a_later_process(self) -> None:
         late = support.build_report(
@@ -194,12 +186,7 @@
 
     def test_a_report_that_was_delayed_within_the_lease(self) -> None:
         self.lease.record_report(support.build_report(6), support.at(1700))
-        for time_ms, expected in (
-            (3000, messages.TargetState.READY),
-            (3001, messages.TargetState.UNKNOWN),
-        ):
-            state = self.lease.get_state(support.at(time_ms))
-            self.assertIs(state, expected)
+        self.check_lease_end(self.lease, 3000)
 
     def test_reports_that_were_delayed_together(self) -> None:
         # The second was sent when the first had not been acknowledged.
