Say what the two kinds of waiting reports wait for

Cause: read as a newcomer, the difference between an unconfirmed report and that of a successor had to be worked out. Ruled out: merging the two; they wait for different things.

--- a/src/egretfork/passthrough/target.py
+++ b/src/egretfork/passthrough/target.py
@@ -43,7 +43,10 @@
         self._send_times = reports.SendTimes(timing, listening_since)
         self._lease_end = datetime.timedelta()
         self._is_trusted = False
+        # Contradicts the settings or earlier reports: waits for a second one.
         self._unconfirmed: reports.WaitingReport | None = None
+        # Of another process while the lease runs: waits for a sign that the
+        # known one has ended.
         self._successor: reports.WaitingReport | None = None
         self._flow_lost_at: datetime.timedelta | None = None
         self._deregistered_at: datetime.timedelta | None = None
