Log whether a control process is verified, and by whom

Cause: when a control process takes no part, its log line control_state shows "follower in term T" both for one that waits for replies to its Hellos and for one that hears no leader.

Change: control_state names the verification and the voters that replied.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -123,6 +123,11 @@
         """Return whether this member is a voter in the latest membership."""
         return self.identity in entries.list_voters(self.log.members)
 
+    @property
+    def hello_replies(self) -> tuple[str, ...]:
+        """Return the voters that have replied since the start, sorted."""
+        return tuple(sorted(self._hello_replies))
+
     # Timers
 
     def _send_hellos(self) -> None:
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -74,6 +74,8 @@
     role: str = ""
     leader: str = ""
     version: int = 0
+    verified: bool = False
+    hello_replies: tuple[str, ...] = ()
 
 
 class Dissemination(typing.Protocol):
@@ -300,6 +302,8 @@
             consensus.role,
             consensus.leader,
             self._core.configuration.version,
+            consensus.verified,
+            consensus.hello_replies,
         )
         if current == self._last_logged_state:
             return
@@ -317,7 +321,8 @@
             step="consensus",
             peer=current.leader,
             detail=f"{current.role} in term {consensus.term},"
-            f" version {current.version}",
+            f" version {current.version}, verified={current.verified}"
+            f" hello_replies={','.join(current.hello_replies)}",
         )
 
     def _report_storage_failure(self, detail: str) -> None:
