Let a member that returns verify itself against the members of today

After its return it answered each read with 503 and took no part. When two disks were lost then, which the deployment tolerates, no leader came back and an acknowledged configuration was gone.

Cause: after a start a member waits until a majority of the voters of its own log have answered its Hellos, and ignores its leader until then. Three of its four peers had other identities since the loss of their disks, so that one answer of the two it needs could come. Its join requests are ignored, as it still is a member. Nothing ended this state.

Ruled out: a leader that doesn't send (the processes that were not stopped but cut off or paused returned also before, and so did a learner), a new election term, a damaged folder (folder_loaded: torn_bytes=0).

Change: a reply to a Hello names the members and the end of the replier's log. The voters whose replies count are those of the most recent log among the own and the reported. A member that knows no running one asks whoever sends it a message, on the connection of that message. A leader sends the known write sequence numbers with each change of the members, so that the voters that count can tell a rolled-back disk.

Tests: tests.control.test_returns and test_shell, "a member whose stored members are all gone". The simulated network now has routes: a member sends to addresses that it knows, or on the connection of the message that it processes. Join requests follow cuts and losses like other messages.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -3,11 +3,17 @@
 Write sequence numbers reveal a disk that was rolled back to an older image.
 Each write of a member increments a number that is stored with the write and
 included in every message. Members keep the highest number received from
-each peer, and a leader distributes the numbers in its heartbeats. After a
-start, a member does not participate until a majority of voters, itself
-included, has reported the highest number known for it. A number above the
-one on disk proves that writes on which other members rely are lost. The
-member then stops permanently and has to rejoin under a new identity.
+each peer, and a leader distributes the numbers in its heartbeats and with
+each change of the membership. After a start, a member does not participate
+until a majority of voters, itself included, has reported the highest number
+known for it. A number above the one on disk proves that writes on which
+other members rely are lost. The member then stops permanently and has to
+rejoin under a new identity.
+
+The membership may have changed while the member was away. Replies therefore
+include the membership that the sender's log holds, and the voters that count
+are those of the most recent log among the member's own and those reported. A
+member that knows no running one asks whoever sends it a message.
 
 Members persist the numbers of their peers with a delay of up to
 ``PEER_SEQUENCES_SAVE_INTERVAL``. A rollback remains undetected only if
@@ -96,8 +102,9 @@
         }
         self._saved_peer_sequences = peer_sequences
         self._next_peer_sequences_save = now + PEER_SEQUENCES_SAVE_INTERVAL
-        self.verified = self._required_hello_replies() == 0
         self._hello_replies: set[str] = set()
+        self._reported = entries.HelloReply(0)
+        self.verified = self._has_majority_replied()
         self._votes: set[str] = set()
         self._pre_vote = True
         self._generator = generator
@@ -125,17 +132,39 @@
 
     @property
     def hello_replies(self) -> tuple[str, ...]:
-        """Return the voters that have replied since the start, sorted."""
+        """Return the members that have replied since the start, sorted."""
         return tuple(sorted(self._hello_replies))
 
+    @property
+    def known_members(self) -> tuple[entries.Member, ...]:
+        """Return the members of the group, as far as this member knows.
+
+        They are the latest in its log, unless another member has reported a
+        more recent log since the start.
+        """
+        own_position = (self.log.last_term, self.log.last_index)
+        if self._reported.position > own_position:
+            return self._reported.members
+        return self.log.members
+
     # Timers
 
     def _send_hellos(self) -> None:
         if self._now < self._next_heartbeat:
             return
         self._next_heartbeat = self._now + self._timing.heartbeat
-        for identity in self._list_others():
-            self._send(identity, entries.Hello(self.sequence))
+        others = entries.list_identities(self.known_members) - {self.identity}
+        for identity in sorted(others):
+            self._send_hello(identity)
+
+    def _send_hello(self, identity: str) -> None:
+        self._send(identity, entries.Hello(self.sequence))
+
+    def _ask_unknown_sender(self, sender: str) -> None:
+        """Ask a member that is new since this one stopped for the members."""
+        known = entries.list_identities(self.known_members)
+        if sender not in known and sender not in self._hello_replies:
+            self._send_hello(sender)
 
     def _delay_election(self) -> None:
         timing = self._timing
@@ -182,17 +211,20 @@
     ) -> None:
         if self._check_rollback(sender, message.sequence):
             return
-        if sender in entries.list_voters(self.log.members):
-            self._hello_replies.add(sender)
-        if len(self._hello_replies) >= self._required_hello_replies():
+        self._hello_replies.add(sender)
+        if message.position > self._reported.position:
+            self._reported = message
+        if self._has_majority_replied():
             self.verified = True
 
-    def _required_hello_replies(self) -> int:
-        voters = entries.list_voters(self.log.members)
-        if not voters:
-            return 0
-        is_self_voter = self.identity in voters
-        return len(voters) // 2 + 1 - int(is_self_voter)
+    def _has_majority_replied(self) -> bool:
+        """Return whether a majority of voters, itself included, replied.
+
+        A member that knows of no voters has nothing to wait for.
+        """
+        voters = entries.list_voters(self.known_members)
+        replied = voters & (self._hello_replies | {self.identity})
+        return not voters or len(replied) > len(voters) // 2
 
     def _check_rollback(self, peer: str, observed_sequence: int) -> bool:
         if observed_sequence <= self.sequence:
--- a/src/egretfork/control/entries.py
+++ b/src/egretfork/control/entries.py
@@ -134,9 +134,26 @@
 
 
 class HelloReply(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Highest write sequence number of the receiver known to the sender."""
+    """What the sender knows of the receiver and of the group.
+
+    Members of earlier releases send the sequence number only.
+
+    Attributes:
+        sequence: highest write sequence number of the receiver.
+        last_term: term of the last entry of the sender's log.
+        last_index: index of that entry.
+        members: latest membership in that log.
+    """
 
     sequence: int
+    last_term: int = 0
+    last_index: int = 0
+    members: tuple[Member, ...] = ()
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return the end of the sender's log; a later one is higher."""
+        return self.last_term, self.last_index
 
 
 class TimeoutNow(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -86,14 +86,22 @@
         self._update_peer_sequence(event.sender, event.sequence)
         message = event.message
         if isinstance(message, entries.Hello):
-            reply = entries.HelloReply(
-                self.peer_sequences.get(event.sender, 0)
-            )
-            self._send(event.sender, reply)
+            self._on_hello(event.sender)
         elif isinstance(message, entries.HelloReply):
             self._on_hello_reply(event.sender, message)
         elif self.verified:
             self._on_term_message(event.sender, message)
+        if not self.verified:
+            self._ask_unknown_sender(event.sender)
+
+    def _on_hello(self, sender: str) -> None:
+        reply = entries.HelloReply(
+            self.peer_sequences.get(sender, 0),
+            self.log.last_term,
+            self.log.last_index,
+            self.log.members,
+        )
+        self._send(sender, reply)
 
     def _on_term_message(
         self, sender: str, message: entries.PeerMessage
@@ -139,7 +147,8 @@
         self._append_missing((entry,))
         if self.leadership is not None:
             self.leadership.update_peers(self._now)
-        self._broadcast(with_peer_sequences=False)
+        # A new voter can then detect the rollback of another voter's disk.
+        self._broadcast(with_peer_sequences=members is not None)
         self._commit_by_majority()
         return entry
 
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -54,7 +54,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ReplyRoute:
-    """Connection on which the current message arrived."""
+    """Connection on which the current message arrived.
+
+    Attributes:
+        client: routing ID of the connection; empty if this process opened
+            it.
+    """
 
     sender: str
     client: bytes
@@ -359,11 +364,12 @@
         )
         data = api.encode(envelope)
         route = self._reply_route
+        address = self._find_address(action.receiver)
         is_reply = isinstance(action.message, entries.ReplyMessage)
-        if is_reply and route.sender == action.receiver and self._router:
+        has_route = route.sender == action.receiver and bool(route.client)
+        if has_route and self._router and (is_reply or address is None):
             self._send(self._router, [route.client, data])
             return
-        address = self._find_address(action.receiver)
         peer = self._connect(address) if address is not None else None
         if peer is not None:
             self._send(peer, [data])
@@ -371,7 +377,7 @@
     def _find_address(self, identity: str) -> model.Endpoint | None:
         found = (
             member.address
-            for member in self._core.consensus.log.members
+            for member in self._core.consensus.known_members
             if member.identity == identity
         )
         return next(found, None)
@@ -382,7 +388,7 @@
         Without open connections, the first messages of an election would be
         dropped while the connections are established.
         """
-        members = self._core.consensus.log.members
+        members = self._core.consensus.known_members
         if members == self._connected_members:
             return
         self._connected_members = members
--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -167,7 +167,7 @@
             await asyncio.sleep(STORE_PERIOD_S)
 
     def _update_controls(self, control: control_shell.ControlService) -> None:
-        members = control.control_core.consensus.log.members
+        members = control.control_core.consensus.known_members
         self._core.set_controls(
             tuple(
                 sorted(
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -13,6 +13,7 @@
 from egretfork.control import api
 from egretfork.control import commands
 from egretfork.control import core
+from egretfork.control import election
 from egretfork.control import entries
 from egretfork.control import events
 from egretfork.control import log
@@ -98,16 +99,20 @@
         seed: int,
         compact_after_entries: int = 25,
         desired_voters: int = 0,
+        timing: election.Timing = election.DEFAULT_TIMING,
     ) -> None:
         self._desired_voters = desired_voters
+        self._timing = timing
         self.rng = random.Random(seed)
         self.now = datetime.timedelta()
         self.oracle = Oracle()
         self.members: list[FakeMember] = []
         self.blocked_links: set[tuple[str, str]] = set()
+        self.cut_off: set[str] = set()
         self.loss = 0.0
         self.replies: dict[bytes, api.Reply] = {}
         self._compact_after_entries = compact_after_entries
+        self._processed_sender = ""
         self._queue: list[tuple[datetime.timedelta, int, bytes]] = []
         self._numbers = itertools.count(1)
 
@@ -176,6 +181,7 @@
             peer_sequences=loaded.peer_sequences,
             generator=self.rng,
             now=self.now,
+            timing=self._timing,
             commit_index=loaded.commit_index,
         )
 
@@ -195,15 +201,17 @@
     def request_joins(self) -> None:
         """Send join requests from members without a leader to all others."""
         requesting = [
-            self.describe(member)
+            member
             for member in self.members
             if member.control_core
             and not member.control_core.consensus.leader
             and not member.is_leader
+            and self.now >= member.frozen_until
         ]
-        for described in requesting:
-            for member in self.members:
-                self._deliver(member, core.JoinRequested(described))
+        for sender, receiver in itertools.product(requesting, self.members):
+            if self._is_delivered(sender.identity, receiver.identity):
+                described = self.describe(sender)
+                self._deliver(receiver, core.JoinRequested(described))
 
     def run_with_joins(self, duration: datetime.timedelta) -> None:
         """Advance the time; members request to join every 400 ms."""
@@ -310,6 +318,8 @@
             and member.member_storage is not None
         )
         actions = member.control_core.handle(event, self.now)
+        is_message = isinstance(event, events.Received)
+        self._processed_sender = event.sender if is_message else ""
         try:
             for action in actions:
                 self._execute(member, member.member_storage, action)
@@ -351,9 +361,9 @@
     def _send_message(
         self, member: FakeMember, sequence: int, action: events.Send
     ) -> None:
-        if (member.identity, action.receiver) in self.blocked_links:
+        if not self._has_route(member, action.receiver):
             return
-        if self.rng.random() < self.loss:
+        if not self._is_delivered(member.identity, action.receiver):
             return
         envelope = entries.Envelope(
             member.identity,
@@ -366,6 +376,26 @@
         item = (due, next(self._numbers), api.encode(envelope))
         heapq.heappush(self._queue, item)
 
+    def _is_delivered(self, sender: str, receiver: str) -> bool:
+        """Return whether the network delivers a message sent now."""
+        is_cut = (sender, receiver) in self.blocked_links or bool(
+            self.cut_off & {sender, receiver}
+        )
+        return not is_cut and self.rng.random() >= self.loss
+
+    def _has_route(self, member: FakeMember, receiver: str) -> bool:
+        """Return whether a member can send to an identity.
+
+        It knows the address, or sends on the connection of the message that
+        it is processing.
+        """
+        assert member.control_core is not None
+        known = member.control_core.consensus.known_members
+        return (
+            receiver == self._processed_sender
+            or receiver in entries.list_identities(known)
+        )
+
     # Operators
 
     def build_services(self, text: str) -> tuple[model.Service, ...]:
@@ -402,6 +432,7 @@
     def repair(self) -> None:
         """End all faults and restart stopped members."""
         self.blocked_links.clear()
+        self.cut_off.clear()
         self.loss = 0.0
         for member in self.members:
             member.frozen_until = self.now
@@ -521,10 +552,13 @@
 
 
 def form_group(
-    seed: int, voters: int, compact_after_entries: int = 25
+    seed: int,
+    voters: int,
+    compact_after_entries: int = 25,
+    timing: election.Timing = election.DEFAULT_TIMING,
 ) -> Cluster:
     """Return a group whose members have become voters by joining."""
-    group = Cluster(seed, compact_after_entries, desired_voters=voters)
+    group = Cluster(seed, compact_after_entries, voters, timing)
     first = group.add_member(first=True)
     group.run_until(lambda: first.is_leader)
     for _ in range(voters - 1):
--- a/tests/control/test_shell.py
+++ b/tests/control/test_shell.py
@@ -87,6 +87,11 @@
     return core.ControlCore("control-1", consensus), member_storage
 
 
+def describe_voter(identity: str, port: int) -> entries.Member:
+    """Return a voter on this machine."""
+    return entries.Member(identity, "", model.Endpoint(HOST, port), voter=True)
+
+
 class ControlShellTest(unittest.IsolatedAsyncioTestCase):
     def build_service(
         self, others: tuple[entries.Member, ...] = ()
@@ -94,11 +99,16 @@
         """Return the service of a voter among other members."""
         self.disk = fakes.FakeFileSystem()
         self.dissemination = FakeDissemination()
-        address = model.Endpoint(HOST, processes.pick_port())
-        own = entries.Member(OWN_IDENTITY, "control-1", address, voter=True)
+        own = describe_voter(OWN_IDENTITY, processes.pick_port())
         storage.Storage(self.disk).initialise(
             storage.StoredIdentity(OWN_IDENTITY, "control-1"), (own, *others)
         )
+        return self.build_stored_service(own.address)
+
+    def build_stored_service(
+        self, address: model.Endpoint
+    ) -> shell.ControlService:
+        """Return the service of the member on the current disk."""
         control_core, member_storage = open_member(self.disk)
         return shell.ControlService(
             address,
@@ -159,6 +169,32 @@
         await self.poll(lambda: len(self.dissemination.versions) > 1)
         self.assertEqual(self.dissemination.versions, [-1, 3])
 
+    async def test_a_member_whose_stored_members_are_all_gone(self) -> None:
+        # Guards against a returned member that stays out: it knows no
+        # address at which a member of today listens.
+        gone = tuple(
+            describe_voter(f"m-{number}", processes.pick_port())
+            for number in (2, 3)
+        )
+        returned = self.build_service(gone)
+        own = returned.control_core.consensus.known_members[0]
+        other = describe_voter("m-4", processes.pick_port())
+        self.disk = fakes.FakeFileSystem()
+        member_storage = storage.Storage(self.disk)
+        member_storage.initialise(
+            storage.StoredIdentity(other.identity, "control-4"), ()
+        )
+        today = entries.Snapshot(5, 1, (own, other))
+        member_storage.save(events.SaveSnapshot(2, today, ()))
+        for service in (returned, self.build_stored_service(other.address)):
+            await service.start()
+            self.addAsyncCleanup(service.stop)
+        await self.poll(
+            lambda: returned.control_core.consensus.commit_index > 5
+        )
+        known = returned.control_core.consensus.known_members
+        self.assertEqual(known, (own, other))
+
     async def test_a_process_with_an_unusable_address_may_not_join(
         self,
     ) -> None:
