Name voters that take no part, and replace those that store nothing

Cause: a leader judged a voter by its latest reply alone. A voter that replies but stores no committed entry counted as good for ever; one that sends other messages but no replies looked like one that is down, and neither was logged.

Change: the leader also keeps when it heard a voter last and when the voter last held all that was committed. A voter that has not caught up for 5 s is inactive like one that has not replied for 1.5 s. Inactive voters are logged (voter_inactive, voter_inactive_ended), counted in a gauge, and replaced once a learner is ready. Weighed and left out: removing a voter without a learner. It gains no majority, and if its disk is intact, the loss of two others would then be one too many.

--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -195,6 +195,15 @@
         """Return the state machine, for inspection."""
         return self._machine
 
+    def list_inactive_voters(
+        self, now: datetime.timedelta
+    ) -> tuple[membership.InactiveVoter, ...]:
+        """Return the voters that take no part, if this member leads."""
+        group = self._read_group()
+        if group is None:
+            return ()
+        return membership.describe_inactive_voters(group, now)
+
     def handle(
         self, event: CoreEvent, now: datetime.timedelta
     ) -> list[CoreAction]:
@@ -429,13 +438,19 @@
         of this term, is not committed yet.
         """
         leader = self._raft.leadership
-        member_log = self._raft.log
         if leader is None or self._raft.commit_index < max(
-            member_log.members_index, leader.term_start_index
+            self._raft.log.members_index, leader.term_start_index
         ):
             return None
+        return self._read_group()
+
+    def _read_group(self) -> membership.GroupState | None:
+        """Return the state of the group if this member leads it."""
+        leader = self._raft.leadership
+        if leader is None:
+            return None
         return membership.GroupState(
-            member_log.members,
+            self._raft.log.members,
             self._raft.commit_index,
             self._raft.identity,
             leader.peers,
--- a/src/egretfork/control/leadership.py
+++ b/src/egretfork/control/leadership.py
@@ -19,6 +19,10 @@
         match_index: index of the last entry known to be on the member's
             disk.
         last_contact: time of the latest reply.
+        last_heard: time of the latest message of any kind.
+        last_caught_up: time of the latest reply that showed all entries up
+            to ``target_index`` to be on the member's disk.
+        target_index: commit index at that time, to be reached next.
         acknowledged: number of the latest message that was replied to.
         reset_number: number of the latest message sent when ``next_index``
             was last moved back. Rejections of messages up to this number
@@ -27,6 +31,9 @@
 
     next_index: int
     last_contact: datetime.timedelta
+    last_heard: datetime.timedelta
+    last_caught_up: datetime.timedelta
+    target_index: int = 0
     match_index: int = 0
     acknowledged: int = 0
     reset_number: int = 0
@@ -73,11 +80,17 @@
         member_identities = entries.list_identities(self._log.members)
         self.peers = {
             identity: self.peers.get(
-                identity, Progress(self._log.last_index + 1, now)
+                identity, Progress(self._log.last_index + 1, now, now, now)
             )
             for identity in sorted(member_identities - {self._identity})
         }
 
+    def record_message(self, identity: str, now: datetime.timedelta) -> None:
+        """Note that a member sent a message of any kind."""
+        peer = self.peers.get(identity)
+        if peer is not None:
+            peer.last_heard = now
+
     def start_heartbeat_round(self) -> bool:
         """Count a heartbeat round.
 
@@ -126,6 +139,7 @@
         self,
         identity: str,
         reply: entries.AppendReply,
+        commit_index: int,
         now: datetime.timedelta,
     ) -> bool:
         """Process a reply; return whether to send the peer a message."""
@@ -137,6 +151,9 @@
         if reply.success:
             peer.match_index = max(peer.match_index, reply.index)
             peer.next_index = max(peer.next_index, reply.index + 1)
+            if peer.match_index >= peer.target_index:
+                peer.last_caught_up = now
+                peer.target_index = commit_index
             return peer.next_index <= self._log.last_index
         if reply.number <= peer.reset_number:
             return False
--- a/src/egretfork/control/membership.py
+++ b/src/egretfork/control/membership.py
@@ -2,9 +2,11 @@
 
 A control process that is not a member requests to join and is added as a
 learner. Learners that have caught up are promoted up to the desired number
-of voters. The leader removes a member whose disk was replaced, an
-unresponsive voter if a learner can take its place, and a learner that
-stays unresponsive. A voter whose process is about to stop is replaced by a
+of voters. The leader removes a member whose disk was replaced, an inactive
+voter if a learner can take its place, and a learner that stays unresponsive.
+A voter is inactive if it does not reply, or replies but does not store the
+committed entries. Without a learner it remains a voter, as its disk may hold
+what others lose. A voter whose process is about to stop is replaced by a
 learner before it stops. The learner is promoted first: the group then never
 has fewer voters than desired.
 """
@@ -23,6 +25,9 @@
 # from its address is outdated.
 REPLACE_DISK_AFTER = datetime.timedelta(milliseconds=750)
 REMOVE_LEARNER_AFTER = datetime.timedelta(seconds=10)
+# A member that replies holds what was committed this long ago, unless its
+# disk is too slow for the group.
+REPLACE_LAGGING_AFTER = datetime.timedelta(seconds=5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,12 +60,70 @@
             return False
         return peer is None or peer.last_contact < since
 
+    def is_lagging(
+        self, member: entries.Member, since: datetime.timedelta
+    ) -> bool:
+        """Return whether a member has not caught up since a given time."""
+        peer = self.progress.get(member.identity)
+        if member.identity == self.leader:
+            return False
+        return peer is None or peer.last_caught_up < since
+
+    def list_inactive_voters(
+        self, now: datetime.timedelta
+    ) -> tuple[entries.Member, ...]:
+        """Return the voters that take no part in the group's decisions."""
+        return tuple(
+            member
+            for member in self.voters
+            if self.is_unresponsive(member, now - REPLACE_VOTER_AFTER)
+            or self.is_lagging(member, now - REPLACE_LAGGING_AFTER)
+        )
+
     def is_caught_up(self, member: entries.Member) -> bool:
         """Return whether a member has stored all committed entries."""
         peer = self.progress.get(member.identity)
         return peer is not None and peer.match_index >= self.commit_index
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InactiveVoter:
+    """A voter that takes no part, and what the leader knows of it.
+
+    Attributes:
+        heard_ago: time since its latest message of any kind.
+        replied_ago: time since its latest reply to the leader.
+        caught_up_ago: time since it held all committed entries.
+        match_index: index of the last entry known to be on its disk.
+        commit_index: index of the last committed entry.
+    """
+
+    identity: str
+    heard_ago: datetime.timedelta
+    replied_ago: datetime.timedelta
+    caught_up_ago: datetime.timedelta
+    match_index: int
+    commit_index: int
+
+
+def describe_inactive_voters(
+    group: GroupState, now: datetime.timedelta
+) -> tuple[InactiveVoter, ...]:
+    """Return the inactive voters that the leader tracks."""
+    return tuple(
+        InactiveVoter(
+            member.identity,
+            now - peer.last_heard,
+            now - peer.last_contact,
+            now - peer.last_caught_up,
+            peer.match_index,
+            group.commit_index,
+        )
+        for member in group.list_inactive_voters(now)
+        if (peer := group.progress.get(member.identity)) is not None
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _JoinRequest:
     """Request of a process to become a member."""
@@ -119,7 +182,7 @@
             self._remove_replaced(group, token, now)
             or self._promote(group, token, now)
             or self._replace_departing(group, token, now)
-            or self._remove_unresponsive(group, token, now)
+            or self._remove_inactive(group, token, now)
             or self._add(group, token, now)
         )
 
@@ -202,20 +265,16 @@
         noted_at = self._departures.get(identity)
         return noted_at is not None and now - noted_at < REQUEST_LIFETIME
 
-    def _remove_unresponsive(
+    def _remove_inactive(
         self, group: GroupState, token: int, now: datetime.timedelta
     ) -> events.MembershipChange | None:
-        unresponsive = [
-            member.identity
-            for member in group.voters
-            if group.is_unresponsive(member, now - REPLACE_VOTER_AFTER)
-        ]
+        inactive = group.list_inactive_voters(now)
         is_replaceable = len(group.voters) > self._desired_voters or (
             len(group.voters) == self._desired_voters
             and bool(self._list_promotable(group, now))
         )
-        if unresponsive and is_replaceable:
-            return events.RemoveMemberProposed(token, unresponsive[0])
+        if inactive and is_replaceable:
+            return events.RemoveMemberProposed(token, inactive[0].identity)
         unresponsive_learners = [
             member.identity
             for member in group.members
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -84,6 +84,8 @@
 
     def _on_received(self, event: events.Received) -> None:
         self._update_peer_sequence(event.sender, event.sequence)
+        if self.leadership is not None:
+            self.leadership.record_message(event.sender, self._now)
         message = event.message
         if isinstance(message, entries.Hello):
             self._on_hello(event.sender)
@@ -181,7 +183,7 @@
         if self.leadership is None or message.term != self.term:
             return
         leader = self.leadership
-        if leader.record_reply(sender, message, self._now):
+        if leader.record_reply(sender, message, self.commit_index, self._now):
             self._send_append(leader, sender)
         self._commit_by_majority()
         self._answer_reads()
--- a/src/egretfork/control/shell.py
+++ b/src/egretfork/control/shell.py
@@ -17,6 +17,7 @@
 from egretfork.control import core
 from egretfork.control import entries
 from egretfork.control import events
+from egretfork.control import membership
 from egretfork.control import records
 from egretfork.control import storage
 from egretfork import logs
@@ -128,6 +129,7 @@
         self._connected_members: tuple[entries.Member, ...] = ()
         self._reply_route = _NO_REPLY_ROUTE
         self._last_logged_state = _LoggedState()
+        self._inactive_voters: frozenset[str] = frozenset()
 
     @property
     def registry(self) -> metrics.Metrics:
@@ -222,6 +224,7 @@
         while True:
             self._connect_members()
             self._handle(events.Tick())
+            self._log_inactive_voters()
             await asyncio.sleep(TICK_INTERVAL.total_seconds())
 
     @mode.Service.timer(REOPEN_PERIOD_S)
@@ -330,6 +333,35 @@
             f" hello_replies={','.join(current.hello_replies)}",
         )
 
+    def _log_inactive_voters(self) -> None:
+        """Log the voters that begin or cease to take no part."""
+        found = self._core.list_inactive_voters(self._time_source.now())
+        known = self._inactive_voters
+        self._inactive_voters = frozenset(item.identity for item in found)
+        if self._inactive_voters == known:
+            return
+        self._registry.set_gauge(
+            "control_inactive_voters",
+            "Voters that take no part, as the leader knows them.",
+            float(len(found)),
+        )
+        for item in found:
+            if item.identity not in known:
+                _log_inactive_voter(item)
+        if self._core.consensus.leadership is not None:
+            for identity in sorted(known - self._inactive_voters):
+                self._log_end_of_inactivity(identity)
+
+    def _log_end_of_inactivity(self, identity: str) -> None:
+        voters = entries.list_voters(self._core.consensus.log.members)
+        logs.write(
+            LOGGER,
+            "voter_inactive_ended",
+            step="consensus",
+            peer=identity,
+            detail="takes part" if identity in voters else "removed",
+        )
+
     def _report_storage_failure(self, detail: str) -> None:
         self._registry.count(reasons.ControlRefusal.STORAGE_FAILED)
         logs.write(
@@ -469,6 +501,27 @@
     )
 
 
+def _log_inactive_voter(voter: membership.InactiveVoter) -> None:
+    ages = (
+        ("heard", voter.heard_ago),
+        ("replied", voter.replied_ago),
+        ("caught_up", voter.caught_up_ago),
+    )
+    described = " ".join(
+        f"{name}_ms_ago={age // datetime.timedelta(milliseconds=1)}"
+        for name, age in ages
+    )
+    logs.write(
+        LOGGER,
+        "voter_inactive",
+        step="consensus",
+        peer=voter.identity,
+        detail=f"{described} match={voter.match_index}"
+        f" commit={voter.commit_index}",
+        level=logging.WARNING,
+    )
+
+
 def _log_unusable_address(address: model.Endpoint, error: Exception) -> None:
     logs.write(
         LOGGER,
--- a/tests/control/test_shell.py
+++ b/tests/control/test_shell.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections.abc
 import datetime
+import itertools
 import logging
 import random
 import unittest
+from unittest import mock
 
 from egretfork import clock
 from egretfork.control import api
@@ -14,6 +16,7 @@
 from egretfork.control import election
 from egretfork.control import entries
 from egretfork.control import events
+from egretfork.control import membership
 from egretfork.control import raft
 from egretfork.control import shell
 from egretfork.control import state
@@ -29,6 +32,7 @@
 from tests.control import processes
 from tests.control import test_declarations
 
+SECOND = datetime.timedelta(seconds=1)
 OWN_IDENTITY = "m-1"
 HOST = "127.0.0.1"
 UNUSABLE = (
@@ -195,6 +199,40 @@
         known = returned.control_core.consensus.known_members
         self.assertEqual(known, (own, other))
 
+    async def test_an_inactive_voter_is_logged_once(self) -> None:
+        # Guards against a voter that is counted on and that nobody knows to
+        # be out.
+        service = self.build_service()
+        voter = membership.InactiveVoter(
+            "m-2", SECOND, 2 * SECOND, 3 * SECOND, 4, 5
+        )
+        with (
+            mock.patch.object(
+                core.ControlCore,
+                "list_inactive_voters",
+                side_effect=itertools.chain(
+                    [(), (voter,), (voter,)], itertools.repeat(())
+                ),
+            ),
+            self.assertLogs(shell.LOGGER) as logged,
+        ):
+            await service.start()
+            self.addAsyncCleanup(service.stop)
+            await self.poll(
+                lambda: service.control_core.consensus.leadership is not None
+            )
+        written = [
+            record
+            for record in logged.records
+            if record.getMessage() == "voter_inactive"
+        ]
+        self.assertEqual(len(written), 1)
+        self.assertEqual(
+            vars(written[0])["detail"],
+            "heard_ms_ago=1000 replied_ms_ago=2000 caught_up_ms_ago=3000"
+            " match=4 commit=5",
+        )
+
     async def test_a_process_with_an_unusable_address_may_not_join(
         self,
     ) -> None:
