Hold the next election soon after a split vote

Two or three leaders were lost in turn, as the tolerance allows, and the disk of the first was not replaced before the third was lost. Between them, candidates of the same term split the votes: with two of five away, a candidate needs the vote of every other one, and each split costs a whole election timeout (0.8 to 1.6 s), up to three in a row.

Change: a candidate whose vote another candidate got draws its next election from half of the least election timeout. The pre-vote comes first, so a leader that was elected meanwhile is not disturbed.

Test: tests.control.test_raft, "a split vote is followed by an election soon"; it failed before.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -300,6 +300,8 @@
         if not message.granted and message.term > self.term:
             self._adopt_term(message.term)
             return
+        if not message.granted and not message.pre_vote:
+            self._hasten_next_election(message.term)
         expected_term = self.term + 1 if self._pre_vote else self.term
         if (
             self.role is Role.CANDIDATE
@@ -310,6 +312,23 @@
             self._votes.add(sender)
             self._count_votes()
 
+    def _hasten_next_election(self, term: int) -> None:
+        """Prepare for a split vote, as a voter chose another candidate.
+
+        The pre-vote keeps this member from disturbing a leader that the
+        others have elected meanwhile.
+        """
+        limit = self._timing.election_timeout_min / 2
+        is_running = self.role is Role.CANDIDATE and not self._pre_vote
+        if (
+            is_running
+            and term == self.term
+            and self._election_deadline - self._now > limit
+        ):
+            self._election_deadline = self._now + self._draw_duration(
+                datetime.timedelta(), limit
+            )
+
     def _count_votes(self) -> None:
         voters = entries.list_voters(self.log.members)
         if len(self._votes & voters) <= len(voters) // 2:
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -5,6 +5,7 @@
 import unittest
 
 from egretfork.control import api
+from egretfork.control import election
 from egretfork.control import entries
 from egretfork.control import events
 from egretfork.control import log
@@ -63,6 +64,39 @@
             disk.crash(random.Random(1))
 
 
+class CandidateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        snapshot = entries.Snapshot(members=VOTERS)
+        loaded = storage.LoadedState(
+            "a", 1, entries.Vote(3), log.Log(snapshot), 0
+        )
+        self.core = build_raft(loaded)
+        self.core.handle(events.Tick(), 9 * SECOND)
+        receive(self.core, "b", entries.VoteReply(4, True, True), 9)
+        self.assertEqual(self.core.term, 4)
+
+    def list_requests(
+        self, now: datetime.timedelta
+    ) -> list[tuple[str, entries.VoteRequest]]:
+        """Return the vote requests that the next tick sends."""
+        return [
+            (action.receiver, action.message)
+            for action in self.core.handle(events.Tick(), now)
+            if isinstance(action, events.Send)
+            and isinstance(action.message, entries.VoteRequest)
+        ]
+
+    def test_a_split_vote_is_followed_by_an_election_soon(self) -> None:
+        # Guards against a group that lacks a leader for several election
+        # timeouts when it needs the vote of each running member.
+        receive(self.core, "b", entries.VoteReply(4, False, False), 9)
+        limit = election.DEFAULT_TIMING.election_timeout_min / 2
+        requests = self.list_requests(9 * SECOND + limit)
+        self.assertIn(
+            ("c", entries.VoteRequest(5, 0, 0, pre_vote=True)), requests
+        )
+
+
 class CommitRuleTest(unittest.TestCase):
     def test_entry_of_an_earlier_term_is_not_committed_by_count(self) -> None:
         # Guards against the case in figure 8 of the Raft paper: an entry of
