Repeat vote requests until they are answered

Cause: a candidate asked each voter once per election. With two of five members away it needs the vote of each of the other two; one lost message then costs an election timeout.

Change: a candidate asks the voters that have not granted their vote again after each heartbeat interval (section 5.5 of the Raft paper: a server retries requests that are not answered).

Test: tests.control.test_raft, "vote requests are repeated"; it failed before.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -107,6 +107,7 @@
         self.verified = self._has_majority_replied()
         self._votes: set[str] = set()
         self._pre_vote = True
+        self._is_transfer = False
         self._generator = generator
         self._now = now
         self._last_leader_contact = now - timing.election_timeout_min
@@ -244,23 +245,27 @@
         self.role = Role.CANDIDATE
         self.leader = ""
         self._pre_vote = pre_vote
+        self._is_transfer = transfer
         self._votes = {self.identity}
-        term = self.term + 1
         if not pre_vote:
-            self._save_vote(entries.Vote(term, self.identity))
-        for identity in self._list_others(voters_only=True):
-            self._send(
-                identity,
-                entries.VoteRequest(
-                    term,
-                    self.log.last_index,
-                    self.log.last_term,
-                    pre_vote,
-                    transfer,
-                ),
-            )
+            self._save_vote(entries.Vote(self.term + 1, self.identity))
+        self._request_votes()
         self._count_votes()
 
+    def _request_votes(self) -> None:
+        """Ask the voters that have not granted their vote yet."""
+        self._next_heartbeat = self._now + self._timing.heartbeat
+        request = entries.VoteRequest(
+            self.term + 1 if self._pre_vote else self.term,
+            self.log.last_index,
+            self.log.last_term,
+            self._pre_vote,
+            self._is_transfer,
+        )
+        voters = entries.list_voters(self.log.members)
+        for identity in sorted(voters - self._votes):
+            self._send(identity, request)
+
     def _on_vote_request(
         self, sender: str, message: entries.VoteRequest
     ) -> None:
@@ -362,12 +367,3 @@
 
     def _send(self, receiver: str, message: entries.PeerMessage) -> None:
         self._actions.append(events.Send(receiver, message))
-
-    def _list_others(self, *, voters_only: bool = False) -> list[str]:
-        members = self.log.members
-        chosen = (
-            entries.list_voters(members)
-            if voters_only
-            else entries.list_identities(members)
-        )
-        return sorted(chosen - {self.identity})
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -64,6 +64,13 @@
             self._tick_leader(self.leadership)
         elif self._now >= self._election_deadline:
             self._on_leader_silent()
+        elif self.role is election.Role.CANDIDATE:
+            self._tick_candidate()
+
+    def _tick_candidate(self) -> None:
+        """Repeat the vote requests, as a message may have been lost."""
+        if self._now >= self._next_heartbeat:
+            self._request_votes()
 
     def _on_leader_silent(self) -> None:
         """Start an election; a member that is no voter forgets its leader.
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -86,6 +86,15 @@
             and isinstance(action.message, entries.VoteRequest)
         ]
 
+    def test_vote_requests_are_repeated(self) -> None:
+        # Guards against one lost message that costs an election timeout.
+        request = entries.VoteRequest(4, 0, 0, pre_vote=False)
+        for seconds in (10, 11):
+            self.assertEqual(
+                self.list_requests(seconds * SECOND),
+                [("b", request), ("c", request)],
+            )
+
     def test_a_split_vote_is_followed_by_an_election_soon(self) -> None:
         # Guards against a group that lacks a leader for several election
         # timeouts when it needs the vote of each running member.
