Move an agent's knowledge of its target's flows out of the agent core

passthrough/agent.py decided among much else whether the agent knows every flow that its target holds. passthrough.knowledge does so now; no behaviour changes.

--- a/src/egretfork/passthrough/agent.py
+++ b/src/egretfork/passthrough/agent.py
@@ -16,6 +16,7 @@
 from egretfork.passthrough import announcer
 from egretfork.passthrough import base
 from egretfork.passthrough import flowtable
+from egretfork.passthrough import knowledge
 from egretfork.passthrough import locator
 from egretfork.passthrough import messages
 from egretfork.passthrough import packets
@@ -28,12 +29,7 @@
 from egretfork.passthrough import workload
 from egretfork import reasons
 
-# Idle flows are removed after this time. An agent that has run for longer has
-# seen a packet of every flow that its target still holds.
-FLOW_IDLE_LIMIT = datetime.timedelta(seconds=60)
 MILLISECOND = datetime.timedelta(milliseconds=1)
-# Number of reports that a target may send without a pause after its start.
-FIRST_REPORTS = 2
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -67,13 +63,13 @@
         """
         super().__init__(codec, now)
         self._identity = identity
-        self._timing = timing
         self._target = target.TargetLease(timing, service, now)
         self._schedule = slots.SlotSchedule()
         self._waitlist = waitlist.Waitlist()
-        self.flows = flowtable.FlowTable(FLOW_IDLE_LIMIT, self._schedule)
-        self._started_at = now
-        self._knows_all_flows = False
+        self.flows = flowtable.FlowTable(
+            knowledge.FLOW_IDLE_LIMIT, self._schedule
+        )
+        self._knowledge = knowledge.FlowKnowledge(timing, now)
         self._locator = locator.FlowLocator(now)
         self._pending_returns = returns.PendingReturns()
         self._workload = workload.Workload(now)
@@ -143,29 +139,12 @@
             reports.ReportChange.REPLACED,
         ):
             self._suspicion.record_received()
-            self._knows_all_flows = (
-                self._knows_all_flows or self._has_seen_start(report)
-            )
+            self._knowledge.record_report(report, self._now)
         if change is not reports.ReportChange.NONE:
             self._log_report(report, change)
         if change not in reports.IGNORED:
             self._schedule.slots = report.slots
 
-    def _has_seen_start(self, report: reports.TargetReport) -> bool:
-        """Return whether the target holds only flows of this agent process.
-
-        It does if it started after this process, or if no earlier process can
-        have acknowledged a report of it.
-        """
-        if report.age_ms is None or report.age_ms < 0:
-            return False
-        age = report.age_ms * MILLISECOND
-        if report.sequence > FIRST_REPORTS + age // reports.MIN_REPORT_GAP:
-            # The wall clock was set back after the target had started.
-            return False
-        started_later = self._now - age >= self._started_at
-        return started_later or age < self._timing.first_interval
-
     def handle_service(
         self, service: str, now: datetime.timedelta
     ) -> list[actions.Action]:
@@ -198,8 +177,7 @@
         )
         self._open_waiting_flows()
         self._actions += self._locator.handle_tick(now)
-        if now - self._started_at >= FLOW_IDLE_LIMIT:
-            self._knows_all_flows = True
+        self._knowledge.update(now)
         if self._target.has_exited(now) and len(self.flows):
             self._drop_flows("target ended", "")
         if self._suspicion.is_probe_due(self._target.get_state(now), now):
@@ -219,7 +197,7 @@
         detail = f"nothing listens, report={self._describe_report()}"
         self._log_event("target_dead", "follow target", "", detail)
         self._target.mark_dead(self._now)
-        self._knows_all_flows = True
+        self._knowledge.record_end()
         self._drop_flows("target dead", "")
         self._announce_change()
         return self._actions
@@ -400,7 +378,9 @@
             and held_flow.stage is not flowtable.FlowStage.TENTATIVE
         ):
             return messages.Holding.YES
-        if self._knows_all_flows or self.flows.was_lost_with_target(flow):
+        if self._knowledge.is_complete or self.flows.was_lost_with_target(
+            flow
+        ):
             return messages.Holding.NO
         report = self._target.report
         if report is not None and services and report.service not in services:
