Move the queries in progress out of the control core

control/core.py kept the queries of clients by token beside consensus and the tasks of a leader. control.pending does so now; no behaviour changes.

--- a/src/egretfork/control/core.py
+++ b/src/egretfork/control/core.py
@@ -13,6 +13,7 @@
 from egretfork.control import events
 from egretfork.control import leader_tasks
 from egretfork.control import membership
+from egretfork.control import pending
 from egretfork.control import raft
 from egretfork.control import state
 from egretfork.control import status_report
@@ -25,7 +26,6 @@
 # Limits the memory of entries that are not compacted yet. A services file
 # of the design size has about 100 KB.
 COMPACT_AFTER_BYTES = 2 * 1024 * 1024
-MAX_PENDING = 1024
 
 # Token of proposals that no query waits for.
 MEMBER_CHANGE_TOKEN = 0
@@ -119,21 +119,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class PendingQuery:
-    """A query in progress.
-
-    Attributes:
-        index: index of the appended entry, 0 before it is appended.
-        term: term of the appended entry.
-    """
-
-    client: bytes
-    query: api.Query
-    index: int = 0
-    term: int = 0
-
-
 class ControlCore:
     """Core of one control process, without sockets and files."""
 
@@ -153,8 +138,7 @@
             if entry.command:
                 self._machine.apply(commands.decode(entry.command))
         self._leader_tasks = leader_tasks.LeaderTasks()
-        self._pending: dict[int, PendingQuery] = {}
-        self._next_token = 1
+        self._pending = pending.PendingQueries()
         self._status = api.MemberStatus.ACTIVE
         self._detail = ""
         self._actions: list[CoreAction] = []
@@ -177,7 +161,7 @@
     @property
     def has_pending(self) -> bool:
         """Return whether queries are waiting for their results."""
-        return bool(self._pending)
+        return len(self._pending) > 0
 
     @property
     def may_stop(self) -> bool:
@@ -250,15 +234,12 @@
             self._answer(event.client, self._read_status(query))
         elif self._status is not api.MemberStatus.ACTIVE:
             self._refuse_inactive(event)
-        elif (
-            self._raft.leadership is None or len(self._pending) >= MAX_PENDING
-        ):
+        elif self._raft.leadership is None or self._pending.is_full:
             self._redirect(event.client, query)
         else:
-            token = self._next_token
+            token = self._pending.draw_token()
             consensus_event = _build_consensus_event(token, query)
-            self._next_token += 1
-            self._pending[token] = PendingQuery(event.client, query)
+            self._pending.add(token, event.client, query)
             self._run_consensus(consensus_event, now)
 
     def _refuse_inactive(self, event: QueryReceived) -> None:
@@ -301,7 +282,9 @@
                 self._publish()
                 self._publish_routing()
             case events.Appended():
-                self._set_position(action)
+                self._pending.set_position(
+                    action.token, action.index, action.term
+                )
             case (
                 events.MembershipChangeRefused()
                 | events.NotLeader()
@@ -323,12 +306,6 @@
             case _:
                 self._actions.append(action)
 
-    def _set_position(self, action: events.Appended) -> None:
-        pending = self._pending.get(action.token)
-        if pending is not None:
-            pending.index = action.index
-            pending.term = action.term
-
     def _finish_uncommitted(
         self,
         action: (
@@ -337,21 +314,19 @@
             | events.ReadReady
         ),
     ) -> None:
-        pending = self._pending.pop(action.token, None)
-        if pending is None:
+        found = self._pending.pop(action.token)
+        if found is None:
             return
         match action:
             case events.MembershipChangeRefused():
                 reply: api.Reply = api.QueryRefused(
-                    pending.query.number, action.reason, action.detail
+                    found.query.number, action.reason, action.detail
                 )
-                self._answer(pending.client, reply)
+                self._answer(found.client, reply)
             case events.NotLeader():
-                self._redirect(pending.client, pending.query)
+                self._redirect(found.client, found.query)
             case events.ReadReady():
-                self._answer(
-                    pending.client, self._build_read_reply(pending.query)
-                )
+                self._answer(found.client, self._build_read_reply(found.query))
 
     def _commit(
         self, added: tuple[entries.Entry, ...], now: datetime.timedelta
@@ -375,38 +350,32 @@
             )
             if forgotten:
                 self._actions.append(StopDissemination(forgotten))
-        tokens = [
-            token
-            for token, pending in self._pending.items()
-            if pending.index == entry.index
-        ]
-        for token in tokens:
-            self._finish_committed(self._pending.pop(token), entry, outcome)
+        for waiting in self._pending.pop_at(entry.index):
+            self._finish_committed(waiting, entry, outcome)
 
     def _finish_committed(
         self,
-        pending: PendingQuery,
+        waiting: pending.PendingQuery,
         entry: entries.Entry,
         outcome: commands.Outcome | None,
     ) -> None:
-        number = pending.query.number
-        if pending.term != entry.term:
+        number = waiting.query.number
+        if waiting.term != entry.term:
             reply: api.Reply = api.OutcomeUnknown(number, "leader changed")
         elif outcome is not None:
             reply = api.Concluded(number, outcome)
         else:
             reply = api.MembersChanged(number, entry.members or ())
-        self._answer(pending.client, reply)
+        self._answer(waiting.client, reply)
 
     def _fail_pending(self, detail: str) -> None:
         """Answer all queries; appended commands may still take effect."""
-        for pending in self._pending.values():
-            if pending.index:
-                unknown = api.OutcomeUnknown(pending.query.number, detail)
-                self._answer(pending.client, unknown)
+        for waiting in self._pending.pop_all():
+            if waiting.index:
+                unknown = api.OutcomeUnknown(waiting.query.number, detail)
+                self._answer(waiting.client, unknown)
             else:
-                self._redirect(pending.client, pending.query)
-        self._pending.clear()
+                self._redirect(waiting.client, waiting.query)
 
     def _stop(self, status: api.MemberStatus, detail: str) -> None:
         self._status = status
