Let only a control process that takes part ask to join

Test: tests.control.test_shell, "only a process that takes part asks to join"; it failed before. The simulated groups follow the same rule.

--- a/src/egretfork/passthrough/hub.py
+++ b/src/egretfork/passthrough/hub.py
@@ -148,7 +148,7 @@
             if self._control is not None:
                 self._update_controls(self._control)
                 if tick_count % TICKS_PER_JOIN_REQUEST == 0:
-                    self._send_join_requests(self._control)
+                    self.request_join(self._control)
             tick_count += 1
             await asyncio.sleep(TICK_PERIOD_S)
 
@@ -177,11 +177,15 @@
             )
         )
 
-    def _send_join_requests(
-        self, control: control_shell.ControlService
-    ) -> None:
+    def request_join(self, control: control_shell.ControlService) -> None:
+        """Ask to join, unless a leader is known or joining is of no use.
+
+        A process that has stopped taking part would be added as a learner
+        and removed as unresponsive, again and again.
+        """
         consensus = control.control_core.consensus
-        if control.should_stop or consensus.leader:
+        is_active = control.control_core.status is api.MemberStatus.ACTIVE
+        if control.should_stop or consensus.leader or not is_active:
             return
         request = messages.JoinRequest(
             consensus.identity, self._name, self._member_address
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -204,6 +204,7 @@
             member
             for member in self.members
             if member.control_core
+            and member.control_core.status is api.MemberStatus.ACTIVE
             and not member.control_core.consensus.leader
             and not member.is_leader
             and self.now >= member.frozen_until
--- a/tests/control/test_shell.py
+++ b/tests/control/test_shell.py
@@ -26,6 +26,7 @@
 from egretfork.passthrough import contact
 from egretfork.passthrough import hub
 from egretfork.passthrough import messages
+from egretfork.passthrough import output
 from egretfork.passthrough import routing
 from egretfork import prebound
 from tests.control import fakes
@@ -96,6 +97,24 @@
     return entries.Member(identity, "", model.Endpoint(HOST, port), voter=True)
 
 
+def build_directory(
+    seeds: tuple[model.Endpoint, ...],
+) -> hub.DirectoryService:
+    """Return the directory of a control process."""
+    return hub.DirectoryService(
+        model.Endpoint(HOST, 0),
+        "control-1",
+        model.Endpoint(HOST, 0),
+        contact.ContactCore(
+            messages.Role.CONTROL, "control-1", seeds, datetime.timedelta()
+        ),
+        clock.MonotonicClock(),
+        metrics.Metrics(),
+        prebound.PreboundSockets(()),
+        fakes.FakeFileSystem(),
+    )
+
+
 class ControlShellTest(unittest.IsolatedAsyncioTestCase):
     def build_service(
         self, others: tuple[entries.Member, ...] = ()
@@ -237,18 +256,7 @@
         self,
     ) -> None:
         control = self.build_service()
-        directory = hub.DirectoryService(
-            model.Endpoint(HOST, 0),
-            "control-1",
-            model.Endpoint(HOST, 0),
-            contact.ContactCore(
-                messages.Role.CONTROL, "control-1", (), datetime.timedelta()
-            ),
-            clock.MonotonicClock(),
-            metrics.Metrics(),
-            prebound.PreboundSockets(()),
-            fakes.FakeFileSystem(),
-        )
+        directory = build_directory(())
         requests: list[entries.Member] = []
         control.handle_join_request = requests.append  # type: ignore
         directory.attach(control)
@@ -258,6 +266,20 @@
             directory.handle_datagram(messages.encode(request), usable)
         self.assertEqual([member.address for member in requests], [usable])
 
+    async def test_only_a_process_that_takes_part_asks_to_join(self) -> None:
+        # Guards against a process that is added as a learner and removed
+        # again for as long as its disk fails.
+        control = self.build_service()
+        directory = build_directory((model.Endpoint(HOST, 7721),))
+        with mock.patch.object(output.ActionExecutor, "execute") as execute:
+            directory.request_join(control)
+            self.assertEqual(execute.call_count, 1)
+            control.control_core.handle(
+                core.SaveFailed("no space"), datetime.timedelta()
+            )
+            directory.request_join(control)
+            self.assertEqual(execute.call_count, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
