--- a/tests/control/histories.py
+++ b/tests/control/histories.py
@@ -15,7 +15,7 @@
 
 from egretfork.control import api
 from egretfork.control import commands
-from egretfork_platform import control_program
+from egretfork.control import election
 from tests.control import cluster
 from tests.control import test_declarations
 
@@ -26,7 +26,14 @@
 CATCH_UP_TIME = 4 * SECOND
 RECOVERY_TIME = 12 * SECOND
 ABSENT = datetime.timedelta.max
-TIMING = control_program.RAFT_TIMING
+# The values of the users' platform, whose adapter is not installed here.
+TIMING = election.Timing(
+    heartbeat=datetime.timedelta(milliseconds=200),
+    election_timeout_min=datetime.timedelta(milliseconds=800),
+    election_timeout_max=datetime.timedelta(milliseconds=1600),
+    startup_timeout_min=datetime.timedelta(milliseconds=150),
+    startup_timeout_max=datetime.timedelta(milliseconds=500),
+)
 
 
 class History:
