Count a leader's silence before the election when its disk was lost

Seen in simulated histories: two leaders lose their disks in turn, and a third member is lost before the first is replaced, though the tolerance allows it.

Cause: a new leader starts to count the silence of every member at its election. The member at an address that asks to join anew is removed after 0.75 s of silence; the last leader has been silent for 0.8 to 1.6 s by then.

Change: a new leader notes when it heard the last leader last. A member whose address asks to join anew is removed by the time since any message of it, in place of the time since its last reply. Contact to a majority is counted as before, as a last leader of long ago may be a follower by now.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -110,6 +110,7 @@
         self._is_transfer = False
         self._generator = generator
         self._now = now
+        self._last_leader = ""
         self._last_leader_contact = now - timing.election_timeout_min
         self._next_heartbeat = now
         self._election_deadline = now
--- a/src/egretfork/control/follower.py
+++ b/src/egretfork/control/follower.py
@@ -20,6 +20,7 @@
             self._adopt_term(term)
         if self.leader != sender or self.role is not election.Role.FOLLOWER:
             self._become_follower(sender)
+        self._last_leader = sender
         self._last_leader_contact = self._now
         self._delay_election()
         return True
--- a/src/egretfork/control/leadership.py
+++ b/src/egretfork/control/leadership.py
@@ -85,6 +85,12 @@
             for identity in sorted(member_identities - {self._identity})
         }
 
+    def record_silence(self, identity: str, since: datetime.timedelta) -> None:
+        """Note that a member has not been heard since a given time."""
+        peer = self.peers.get(identity)
+        if peer is not None:
+            peer.last_heard = since
+
     def record_message(self, identity: str, now: datetime.timedelta) -> None:
         """Note that a member sent a message of any kind."""
         peer = self.peers.get(identity)
--- a/src/egretfork/control/membership.py
+++ b/src/egretfork/control/membership.py
@@ -21,8 +21,8 @@
 # The sender of an older request may no longer be running.
 REQUEST_LIFETIME = datetime.timedelta(milliseconds=1500)
 REPLACE_VOTER_AFTER = datetime.timedelta(milliseconds=1500)
-# A running member replies to a heartbeat within this time, so that a request
-# from its address is outdated.
+# A running member is heard within this time, so that a request from its
+# address is outdated.
 REPLACE_DISK_AFTER = datetime.timedelta(milliseconds=750)
 REMOVE_LEARNER_AFTER = datetime.timedelta(seconds=10)
 # A member that replies holds what was committed this long ago, unless its
@@ -55,19 +55,28 @@
         self, member: entries.Member, since: datetime.timedelta
     ) -> bool:
         """Return whether a member has not replied since a given time."""
-        peer = self.progress.get(member.identity)
-        if member.identity == self.leader:
-            return False
-        return peer is None or peer.last_contact < since
+        peer = self._get_peer(member)
+        return peer is not None and peer.last_contact < since
+
+    def is_silent(
+        self, member: entries.Member, since: datetime.timedelta
+    ) -> bool:
+        """Return whether no message of a member arrived since a time."""
+        peer = self._get_peer(member)
+        return peer is not None and peer.last_heard < since
 
     def is_lagging(
         self, member: entries.Member, since: datetime.timedelta
     ) -> bool:
         """Return whether a member has not caught up since a given time."""
-        peer = self.progress.get(member.identity)
+        peer = self._get_peer(member)
+        return peer is not None and peer.last_caught_up < since
+
+    def _get_peer(self, member: entries.Member) -> leadership.Progress | None:
+        """Return the state of a member, None for the leader itself."""
         if member.identity == self.leader:
-            return False
-        return peer is None or peer.last_caught_up < since
+            return None
+        return self.progress[member.identity]
 
     def list_inactive_voters(
         self, now: datetime.timedelta
@@ -204,7 +213,7 @@
         """Remove a member whose address now requests to join anew.
 
         The process there has a new data folder and thus another identity. A
-        member that still replies is not replaced: the request is from a
+        member that is still heard is not replaced: the request is from a
         process that ran there before it.
         """
         requesting = {item.address for item in self._list_requests(group, now)}
@@ -212,7 +221,7 @@
             member.identity
             for member in group.members
             if member.address in requesting
-            and group.is_unresponsive(member, now - REPLACE_DISK_AFTER)
+            and group.is_silent(member, now - REPLACE_DISK_AFTER)
         )
         identity = next(replaced, None)
         return (
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -139,6 +139,12 @@
         self.leadership = leadership.Leadership(
             self.identity, self.log, self._now
         )
+        # It has sent no heartbeat since. If it lost its disk, it is replaced
+        # at once.
+        self.leadership.record_silence(
+            self._last_leader, self._last_leader_contact
+        )
+        self._last_leader = ""
         # Entries of earlier terms are committed only indirectly, by
         # committing an entry of the current term.
         self._append_entry(command=b"")
--- a/tests/control/test_histories.py
+++ b/tests/control/test_histories.py
@@ -47,6 +47,23 @@
                 self.assertNotIn(leader.identity, voters)
                 self.assertEqual(len(voters), histories.VOTERS)
 
+    def test_the_last_leader_is_replaced_right_after_the_election(
+        self,
+    ) -> None:
+        # Its silence before the election counts, so that two leaders that
+        # lose their disks in turn are repaired in time.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                group = cluster.form_group(
+                    seed, histories.VOTERS, timing=histories.TIMING
+                )
+                leader, _ = self.choose(group)
+                group.replace_disk(leader)
+                group.run_until(lambda: group.find_leader() is not None)
+                group.run_with_joins(8 * cluster.STEP)
+                voters = test_returns.read_voters(group)
+                self.assertNotIn(leader.identity, voters)
+
     def choose(
         self, group: cluster.Cluster
     ) -> tuple[cluster.FakeMember, cluster.FakeMember]:
