--- a/tests/control/test_inactive.py
+++ b/tests/control/test_inactive.py
@@ -32,7 +32,7 @@
 
 
 class InactiveVoterTest(unittest.TestCase):
-    """Guards against a voter that the leader counts on but that takes no part."""
+    """Guards against a voter that counts but takes no part."""
 
     def form(self, seed: int) -> cluster.Cluster:
         """Return a group and choose a follower."""
