Share the return of members in the tests; reword two comments

Read as a newcomer: four tests repeated the return and its check, and two comments of the consensus left open whom they meant.

--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -319,9 +319,9 @@
             self._count_votes()
 
     def _hasten_next_election(self, term: int) -> None:
-        """Prepare for a split vote, as a voter chose another candidate.
+        """Retry soon, as a voter chose another candidate of the same term.
 
-        The pre-vote keeps this member from disturbing a leader that the
+        The votes may be split so that nobody wins. The pre-vote keeps this member from disturbing a leader that the
         others have elected meanwhile.
         """
         limit = self._timing.election_timeout_min / 2
--- a/src/egretfork/control/raft.py
+++ b/src/egretfork/control/raft.py
@@ -139,8 +139,8 @@
         self.leadership = leadership.Leadership(
             self.identity, self.log, self._now
         )
-        # It has sent no heartbeat since. If it lost its disk, it is replaced
-        # at once.
+        # The last leader has sent no heartbeat since. If it lost its disk, it
+        # is replaced at once.
         self.leadership.record_silence(
             self._last_leader, self._last_leader_contact
         )
--- a/tests/control/test_returns.py
+++ b/tests/control/test_returns.py
@@ -100,6 +100,16 @@
             consensus.commit_index, leader.control_core.consensus.commit_index
         )
 
+    def check_return_of(
+        self, group: cluster.Cluster, away: list[cluster.FakeMember]
+    ) -> None:
+        """Bring members back and check that they take part."""
+        for member in away:
+            bring_back(group, member)
+        group.run_with_joins(REPAIR_TIME)
+        for member in away:
+            self.check_participation(group, member)
+
     def check_tolerance(
         self,
         group: cluster.Cluster,
@@ -132,9 +142,7 @@
                 leave(group, away)
                 group.run_with_joins(REPAIR_TIME)
                 self.repair_others(group, [away], repair)
-                bring_back(group, away)
-                group.run_with_joins(REPAIR_TIME)
-                self.check_participation(group, away)
+                self.check_return_of(group, [away])
                 self.assertIn(away.identity, read_voters(group))
                 self.check_tolerance(group, [away], lost_count=2)
 
@@ -175,9 +183,7 @@
                 group.run_with_joins(REPAIR_TIME)
                 self.assertNotIn(away.identity, read_voters(group))
                 self.repair_others(group, [away], lose_disk)
-                bring_back(group, away)
-                group.run_with_joins(REPAIR_TIME)
-                self.check_participation(group, away)
+                self.check_return_of(group, [away])
                 self.check_tolerance(group, [away], lost_count=2)
 
     def test_two_that_were_away_at_once(self) -> None:
@@ -189,11 +195,7 @@
                     stop(group, member)
                 group.run_with_joins(REPAIR_TIME)
                 self.repair_others(group, away, lose_disk)
-                for member in away:
-                    bring_back(group, member)
-                group.run_with_joins(REPAIR_TIME)
-                for member in away:
-                    self.check_participation(group, member)
+                self.check_return_of(group, away)
                 self.check_tolerance(group, away, lost_count=3)
 
     def test_two_disks_are_lost_as_it_returns(self) -> None:
@@ -235,9 +237,7 @@
                     leave(group, learner)
                     group.run_with_joins(REPAIR_TIME)
                     self.repair_others(group, [learner], lose_disk)
-                    bring_back(group, learner)
-                    group.run_with_joins(REPAIR_TIME)
-                    self.check_participation(group, learner)
+                    self.check_return_of(group, [learner])
                     self.check_replacement(group, learner)
 
     def check_replacement(
