--- a/src/egretfork/control/election.py
+++ b/src/egretfork/control/election.py
@@ -321,8 +321,8 @@
     def _hasten_next_election(self, term: int) -> None:
         """Retry soon, as a voter chose another candidate of the same term.
 
-        The votes may be split so that nobody wins. The pre-vote keeps this member from disturbing a leader that the
-        others have elected meanwhile.
+        The votes may be split so that nobody wins. The pre-vote keeps this
+        member from disturbing a leader that the others have elected.
         """
         limit = self._timing.election_timeout_min / 2
         is_running = self.role is Role.CANDIDATE and not self._pre_vote
